--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         limits::{
-            EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, OWNERS_KEY, PREFERRED_OWNERS, SMALL_SYSTEM_NODES,
+            EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, SMALL_SYSTEM_NODES,
         },
         node::Node,
     },
@@ -37,14 +37,14 @@
     }
 }
 
-/// Neighbours, and in a large system the owners, who pass on who is unreachable.
+/// Neighbours, and in a large system the owners, who pass on who is unavailable.
 fn partners(node: &Rc<Node>) -> Vec<NodeName> {
-    let mut partners = node.members.neighbours();
+    let mut partners = node.members.direct_partners();
     if node.members.listed_count() > SMALL_SYSTEM_NODES {
         partners.extend(node.ranked_owners().into_iter().take(1));
-        // An owner that failed is tried again, so that nodes come to the same view.
-        let preferred = node.members.preferred(OWNERS_KEY);
-        partners.extend(preferred.into_iter().take(PREFERRED_OWNERS));
+        // Who failed once and is no neighbour would otherwise count as gone for good.
+        let failed = node.members.failed_nodes().into_iter();
+        partners.extend(failed.take(MOST_FAILED_RETRIED));
     }
     partners.retain(|partner| *partner != node.settings.node);
     partners.sort();
@@ -65,7 +65,7 @@
         return;
     };
     let mut digest = node.empty_digest();
-    digest.unreachable = node.members.own_unreachable();
+    digest.unavailable = node.members.own_unavailable();
     match link.exchange(&digest, EXCHANGE_TIMEOUT).await {
         Ok(theirs) => {
             node.members.answered(&peer, theirs.is_leaving);
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -28,8 +28,8 @@
 /// Neighbours that a node of a large system checks.
 pub(crate) const LARGE_SYSTEM_NEIGHBOURS: usize = 4;
 
-/// How long a node counts as unreachable after another one said so; longer than two exchanges.
-pub(crate) const TOLD_UNREACHABLE: Duration = Duration::from_millis(1_500);
+/// How long a node counts as unavailable after another one said so; longer than two exchanges.
+pub(crate) const TOLD_UNAVAILABLE: Duration = Duration::from_millis(1_500);
 
 /// While a request waits at an owner that has been silent this long, the owner is asked for a sign.
 pub(crate) const OWNER_SILENCE: Duration = Duration::from_millis(80);
@@ -78,6 +78,10 @@
 /// Time between two log lines of what an owner believes; a stream's usual length.
 pub(crate) const BELIEF_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Failed nodes beside the neighbours that are tried again at each exchange; a zone of the deployments seen
+/// has more nodes, but few of them are ever called by one that is no neighbour.
+pub(crate) const MOST_FAILED_RETRIED: usize = 6;
+
 /// Owners by rank with which each node of a large system exchanges views, seen or not.
 pub(crate) const PREFERRED_OWNERS: usize = 2;
 
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -6,14 +6,15 @@
 use {
     crate::{
         limits::{
-            LARGE_SYSTEM_NEIGHBOURS, OWNER_WEIGHT_POWER, SMALL_SYSTEM_NODES, TOLD_UNREACHABLE,
+            LARGE_SYSTEM_NEIGHBOURS, OWNER_WEIGHT_POWER, OWNERS_KEY, PREFERRED_OWNERS,
+            SMALL_SYSTEM_NODES, TOLD_UNAVAILABLE,
         },
         settings::MemberRecord,
     },
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
     dragonflystep_peer::{PeerError, PeerLink},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
         rc::Rc,
     },
@@ -27,15 +28,17 @@
     /// Whether its machine said that no process listens there; such a node runs nothing.
     is_down: bool,
     is_leaving: bool,
-    /// Until when it counts as unreachable because others said so.
-    told_unreachable_until: MonotonicTime,
+    /// Until when it counts as unavailable because others said so.
+    told_unavailable_until: MonotonicTime,
 }
 
 /// The nodes of the system as this one sees them.
 pub(crate) struct Members {
     own: MemberRecord,
+    /// Version of the list that `others` is.
+    version: Cell<u64>,
     others: RefCell<BTreeMap<NodeName, Other>>,
-    /// What other nodes told of nodes that do not answer them, with the time.
+    /// What other nodes told of nodes that are unavailable, with the time.
     told: RefCell<HashMap<NodeName, MonotonicTime>>,
 }
 
@@ -43,6 +46,7 @@
     pub(crate) fn new(own: MemberRecord) -> Self {
         Self {
             own,
+            version: Cell::new(0),
             others: RefCell::default(),
             told: RefCell::default(),
         }
@@ -52,8 +56,14 @@
         &self.own
     }
 
-    /// Takes over the platform's list.
-    pub(crate) fn set_records(&self, records: Vec<MemberRecord>) {
+    /// Version of the list of nodes; 0 is none.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Takes over the list of nodes.
+    pub(crate) fn set_records(&self, version: u64, records: Vec<MemberRecord>) {
+        self.version.set(version);
         let mut others = self.others.borrow_mut();
         let mut before = std::mem::take(&mut *others);
         for record in records {
@@ -68,17 +78,6 @@
         }
     }
 
-    /// Takes in nodes that another one told of and this one does not know.
-    pub(crate) fn add_records(&self, records: Vec<MemberRecord>) {
-        let mut others = self.others.borrow_mut();
-        for record in records {
-            if record.node != self.own.node {
-                let name = record.node.clone();
-                others.entry(name).or_insert_with(|| Other::new(record));
-            }
-        }
-    }
-
     /// All nodes that are listed.
     pub(crate) fn records(&self) -> Vec<MemberRecord> {
         let others = self.others.borrow();
@@ -176,7 +175,7 @@
             other.has_failed = false;
             other.is_down = false;
             other.is_leaving = is_leaving;
-            other.told_unreachable_until = MonotonicTime::ZERO;
+            other.told_unavailable_until = MonotonicTime::ZERO;
         }
     }
 
@@ -192,21 +191,30 @@
         }
     }
 
-    /// Notes that a node said it is stopping.
-    pub(crate) fn leaving(&self, node: &str) {
+    /// Notes whether a node said that it is stopping.
+    pub(crate) fn set_leaving(&self, node: &str, is_leaving: bool) {
         if let Some(other) = self.others.borrow_mut().get_mut(node) {
-            other.is_leaving = true;
+            other.is_leaving = is_leaving;
         }
     }
 
     /// Nodes that do not answer this one.
-    pub(crate) fn own_unreachable(&self) -> Vec<NodeName> {
+    pub(crate) fn failed_nodes(&self) -> Vec<NodeName> {
+        self.nodes_where(|other| other.has_failed)
+    }
+
+    /// Nodes that do not answer this one, or told it that they are stopping.
+    pub(crate) fn own_unavailable(&self) -> Vec<NodeName> {
+        self.nodes_where(|other| other.has_failed || other.is_leaving)
+    }
+
+    fn nodes_where(&self, is_meant: impl Fn(&Other) -> bool) -> Vec<NodeName> {
         let others = self.others.borrow();
-        let failed = others.iter().filter(|(_, other)| other.has_failed);
-        failed.map(|(node, _)| node.clone()).collect()
+        let meant = others.iter().filter(|(_, other)| is_meant(other));
+        meant.map(|(node, _)| node.clone()).collect()
     }
 
-    /// Takes in what a node says of nodes that do not answer it; kept to be passed on.
+    /// Takes in what a calling node says of unavailable nodes; kept to be passed on.
     pub(crate) fn told_by_caller(&self, now: MonotonicTime, nodes: &[NodeName]) {
         let mut told = self.told.borrow_mut();
         for node in nodes {
@@ -219,32 +227,45 @@
     /// Takes in what an asked node says; not passed on, so that no rumour goes in circles.
     pub(crate) fn told(&self, now: MonotonicTime, nodes: &[NodeName]) {
         // With few nodes each one tries all others itself.
-        if self.listed_count() <= SMALL_SYSTEM_NODES {
+        if nodes.is_empty() || self.listed_count() <= SMALL_SYSTEM_NODES {
             return;
         }
-        let neighbours = self.neighbours();
+        // What this node sees itself goes before what others say. After a start of all nodes two of them
+        // had called the owner too early, and their word split the services between two owners for 3 s.
+        let seen_directly = self.direct_partners();
         let mut others = self.others.borrow_mut();
         for node in nodes {
-            if neighbours.contains(node) {
+            if seen_directly.contains(node) {
                 continue;
             }
             if let Some(other) = others.get_mut(node) {
-                other.told_unreachable_until = now + TOLD_UNREACHABLE;
+                other.told_unavailable_until = now + TOLD_UNAVAILABLE;
             }
         }
     }
 
-    /// Nodes that do not answer this one or those who call it.
-    pub(crate) fn all_unreachable(&self, now: MonotonicTime) -> Vec<NodeName> {
+    /// Nodes that are unavailable to this one or those who call it.
+    pub(crate) fn all_unavailable(&self, now: MonotonicTime) -> Vec<NodeName> {
         let mut told = self.told.borrow_mut();
-        told.retain(|_, at| now.saturating_sub(*at) < TOLD_UNREACHABLE);
-        let mut nodes = self.own_unreachable();
+        told.retain(|_, at| now.saturating_sub(*at) < TOLD_UNAVAILABLE);
+        let mut nodes = self.own_unavailable();
         nodes.extend(told.keys().cloned());
         nodes.sort();
         nodes.dedup();
         nodes
     }
 
+    /// Nodes with which this one exchanges views whatever it believes of them: its neighbours, and in a
+    /// large system the nodes that own the services if all are there.
+    pub(crate) fn direct_partners(&self) -> Vec<NodeName> {
+        let mut partners = self.neighbours();
+        if self.listed_count() > SMALL_SYSTEM_NODES {
+            let preferred = self.preferred(OWNERS_KEY);
+            partners.extend(preferred.into_iter().take(PREFERRED_OWNERS));
+        }
+        partners
+    }
+
     /// Nodes that this one checks: all in a small system, else the next ones by name.
     pub(crate) fn neighbours(&self) -> Vec<NodeName> {
         let others = self.others.borrow();
@@ -266,12 +287,12 @@
             has_failed: false,
             is_down: false,
             is_leaving: false,
-            told_unreachable_until: MonotonicTime::ZERO,
+            told_unavailable_until: MonotonicTime::ZERO,
         }
     }
 
     fn is_visible(&self, now: MonotonicTime) -> bool {
-        !self.has_failed && now >= self.told_unreachable_until
+        !self.has_failed && now >= self.told_unavailable_until
     }
 }
 
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -86,7 +86,6 @@
         let incarnation: u64 = rand::random();
         let own = MemberRecord {
             node: settings.node.clone(),
-            incarnation,
             data_centre: settings.data_centre.clone(),
             ingress: settings.ingress.to_string(),
             peers: settings.peers.to_string(),
@@ -194,9 +193,14 @@
         log::info!(limits:? = settings.shared_limits; "settings reloaded");
     }
 
-    /// Takes in the platform's list of nodes.
-    pub fn learn_members(&self, records: Vec<MemberRecord>) {
-        self.members.set_records(records);
+    /// Takes in the list of nodes; older versions than the present one are left alone.
+    pub fn learn_members(&self, version: u64, records: Vec<MemberRecord>, source: &str) {
+        let before = self.members.version();
+        if version <= before {
+            return;
+        }
+        log::info!(source, version, before, nodes = records.len(); "list of nodes in force");
+        self.members.set_records(version, records);
         self.update_reach();
     }
 
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -7,19 +7,18 @@
     pub(crate) fn empty_digest(&self) -> Digest {
         Digest {
             node: self.settings.node.clone(),
-            incarnation: self.incarnation,
             catalogue_version: self.views.catalogue_version(),
             registry_version: self.views.registry().version,
             is_leaving: self.stop.is_stopping(),
-            member_count: self.members.listed_count() as u32,
+            members_version: self.members.version(),
             ..Digest::default()
         }
     }
 
     /// What this node knows, with the documents where those of `theirs` are older.
-    pub(crate) fn digest_for(&self, theirs: &Digest, unreachable: Vec<NodeName>) -> Digest {
+    pub(crate) fn digest_for(&self, theirs: &Digest, unavailable: Vec<NodeName>) -> Digest {
         let mut digest = self.empty_digest();
-        digest.unreachable = unreachable;
+        digest.unavailable = unavailable;
         if digest.catalogue_version > theirs.catalogue_version
             && let Some(view) = self.views.catalogue()
         {
@@ -32,7 +31,7 @@
                 Err(error) => log::error!(error:%; "registry can't be written for another node"),
             }
         }
-        if digest.member_count > theirs.member_count {
+        if digest.members_version > theirs.members_version {
             match serde_json::to_vec(&self.members.records()) {
                 Ok(document) => digest.members = document,
                 Err(error) => log::error!(error:%; "members can't be written for another node"),
@@ -46,7 +45,7 @@
         let own = self.empty_digest();
         own.catalogue_version > theirs.catalogue_version
             || own.registry_version > theirs.registry_version
-            || own.member_count > theirs.member_count
+            || own.members_version > theirs.members_version
     }
 
     /// Notes that another node answered an exchange.
@@ -58,16 +57,14 @@
     pub(crate) fn exchanged(&self, theirs: &Digest, is_caller: bool) {
         let now = self.owner.now();
         if is_caller {
-            self.members.told_by_caller(now, &theirs.unreachable);
+            self.members.told_by_caller(now, &theirs.unavailable);
         } else {
-            self.members.told(now, &theirs.unreachable);
-        }
-        if theirs.is_leaving {
-            self.members.leaving(&theirs.node);
+            self.members.told(now, &theirs.unavailable);
         }
+        self.members.set_leaving(&theirs.node, theirs.is_leaving);
         if !theirs.members.is_empty() {
             match serde_json::from_slice(&theirs.members) {
-                Ok(records) => self.members.add_records(records),
+                Ok(records) => self.learn_members(theirs.members_version, records, &theirs.node),
                 Err(error) => {
                     log::warn!(peer:% = theirs.node, error:%; "members of another node are not understood");
                 }
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -77,8 +77,8 @@
 
     fn exchange(&self, digest: Digest) -> Digest {
         self.node.exchanged(&digest, true);
-        let unreachable = self.node.members.all_unreachable(self.node.owner.now());
-        self.node.digest_for(&digest, unreachable)
+        let unavailable = self.node.members.all_unavailable(self.node.owner.now());
+        self.node.digest_for(&digest, unavailable)
     }
 }
 
--- a/crates/dragonflystep_edge/src/settings.rs
+++ b/crates/dragonflystep_edge/src/settings.rs
@@ -40,8 +40,6 @@
 pub struct MemberRecord {
     /// Its name.
     pub node: NodeName,
-    /// Drawn at each start.
-    pub incarnation: u64,
     /// Where it runs.
     pub data_centre: DataCentreName,
     /// Where callers connect, as IP:PORT.
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -57,15 +57,15 @@
 # What a node knows, with versions; documents are sent only to a peer whose version is older.
 struct Digest {
   node @0 :Text;
-  incarnation @1 :UInt64;
-  catalogueVersion @2 :UInt64;
-  catalogue @3 :Data;
-  registryVersion @4 :UInt64;
-  registry @5 :Data;
-  unreachable @6 :List(Text);
-  isLeaving @7 :Bool;
-  memberCount @8 :UInt32;
-  members @9 :Data;
+  catalogueVersion @1 :UInt64;
+  catalogue @2 :Data;
+  registryVersion @3 :UInt64;
+  registry @4 :Data;
+  membersVersion @5 :UInt64;
+  members @6 :Data;
+  # Nodes that take no requests: they do not answer, or are about to stop.
+  unavailable @7 :List(Text);
+  isLeaving @8 :Bool;
 }
 
 interface Peer {
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -211,33 +211,31 @@
 
 pub(crate) fn encode_digest(digest: &Digest, mut out: digest::Builder<'_>) {
     out.set_node(&*digest.node);
-    out.set_incarnation(digest.incarnation);
     out.set_catalogue_version(digest.catalogue_version);
     out.set_catalogue(&digest.catalogue);
     out.set_registry_version(digest.registry_version);
     out.set_registry(&digest.registry);
-    let mut unreachable = out
+    let mut unavailable = out
         .reborrow()
-        .init_unreachable(digest.unreachable.len() as u32);
-    for (index, node) in digest.unreachable.iter().enumerate() {
-        unreachable.set(index as u32, &**node);
+        .init_unavailable(digest.unavailable.len() as u32);
+    for (index, node) in digest.unavailable.iter().enumerate() {
+        unavailable.set(index as u32, &**node);
     }
     out.set_is_leaving(digest.is_leaving);
-    out.set_member_count(digest.member_count);
+    out.set_members_version(digest.members_version);
     out.set_members(&digest.members);
 }
 
 pub(crate) fn decode_digest(input: digest::Reader<'_>) -> Result<Digest, PeerError> {
     Ok(Digest {
         node: input.get_node()?.to_str()?.into(),
-        incarnation: input.get_incarnation(),
         catalogue_version: input.get_catalogue_version(),
         catalogue: input.get_catalogue()?.to_vec(),
         registry_version: input.get_registry_version(),
         registry: input.get_registry()?.to_vec(),
-        unreachable: decode_texts(input.get_unreachable()?)?,
+        unavailable: decode_texts(input.get_unavailable()?)?,
         is_leaving: input.get_is_leaving(),
-        member_count: input.get_member_count(),
+        members_version: input.get_members_version(),
         members: input.get_members()?.to_vec(),
     })
 }
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -30,8 +30,6 @@
 pub struct Digest {
     /// The node that tells.
     pub node: NodeName,
-    /// Drawn at each start of a node.
-    pub incarnation: u64,
     /// Version of the catalogue that it follows; 0 is none.
     pub catalogue_version: u64,
     /// The catalogue's document, where the other node's is older.
@@ -40,14 +38,14 @@
     pub registry_version: u64,
     /// The registry's entries, where the other node's are older.
     pub registry: Vec<u8>,
-    /// Nodes that do not answer it.
-    pub unreachable: Vec<NodeName>,
+    /// Version of the list of nodes that it follows; 0 is none.
+    pub members_version: u64,
+    /// The list of nodes, where the other node's is older.
+    pub members: Vec<u8>,
+    /// Nodes that take no requests: they do not answer it, or are about to stop.
+    pub unavailable: Vec<NodeName>,
     /// Whether it is about to stop.
     pub is_leaving: bool,
-    /// Nodes that it has in its list.
-    pub member_count: u32,
-    /// The list, where the other node's is shorter.
-    pub members: Vec<u8>,
 }
 
 /// Durations cross the wire as whole microseconds.
