Give accounts what the tolerance of quotas leaves beside changes of owners

Change: an owner uses the tolerance except for two new owners' first shares, the parts of nodes that see no majority and the largest request beyond the burst; never less of it than before. Tests: a_small_account_may_use_the_tolerance_for_most_of_a_window (red before: 247,760 of 388,000 units), requests_larger_than_the_burst_stay_within_the_tolerance_over_a_change_of_owner.

--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -93,9 +93,17 @@
 /// together stay within an eighth of the quota, which the tolerance covers.
 pub(crate) const MINORITY_QUOTA_SHARE: f64 = 0.25;
 
-/// Share of the tolerance of quotas that an owner uses.
+/// Share of the tolerance of quotas that an owner uses at least; with more of it accounts of large quotas
+/// were given more than the tolerance by two changes of owner.
 pub(crate) const QUOTA_TOLERANCE_USE: f64 = 0.4;
 
+/// Changes of owner within a window that the tolerance covers.
+pub(crate) const OWNER_CHANGES_COVERED: f64 = 2.0;
+
+/// Share of an account's quota that nodes which see no majority may give out together, at most: less than half
+/// of the nodes, each part with the minority's share of its fraction.
+pub(crate) const MINORITIES_QUOTA_SHARE: f64 = MINORITY_QUOTA_SHARE / 2.0;
+
 /// Share of the burst that an account has at an owner that has just begun to count.
 pub(crate) const NEW_BUCKET_SHARE: f64 = 0.25;
 
--- a/crates/dragonflystep_dispatch/src/quota.rs
+++ b/crates/dragonflystep_dispatch/src/quota.rs
@@ -4,7 +4,10 @@
     crate::{
         catalogue::AccountQuota,
         ids::{AccountName, MonotonicTime},
-        limits::{MINORITY_QUOTA_SHARE, NEW_BUCKET_SHARE, QUOTA_TOLERANCE_USE},
+        limits::{
+            MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, NEW_BUCKET_SHARE, OWNER_CHANGES_COVERED,
+            QUOTA_TOLERANCE_USE,
+        },
     },
     std::{collections::HashMap, time::Duration},
 };
@@ -31,6 +34,8 @@
 #[derive(Debug)]
 struct Bucket {
     units: f64,
+    /// The largest request so far; one that is larger than the bucket takes it below zero.
+    largest_units: f64,
     filled_at: MonotonicTime,
 }
 
@@ -66,13 +71,15 @@
         let Some(quota) = self.limits.get(account) else {
             return Ok(());
         };
-        let (rate, burst) = bucket_of(&self.rules, quota, share);
         // A new owner does not know what was used under the one before; a bucket that starts low keeps
         // both together within the tolerance.
         let bucket = self.buckets.entry(account.clone()).or_insert(Bucket {
-            units: burst * NEW_BUCKET_SHARE,
+            units: quota.burst_units * share.min(1.0) * NEW_BUCKET_SHARE,
+            largest_units: 0.0,
             filled_at: now,
         });
+        bucket.largest_units = bucket.largest_units.max(units);
+        let (rate, burst) = bucket_of(&self.rules, quota, share, bucket.largest_units);
         let passed = now.saturating_sub(bucket.filled_at).as_secs_f64();
         bucket.units = (bucket.units + passed * rate).min(burst);
         bucket.filled_at = now;
@@ -97,18 +104,32 @@
 
 /// Rate and size of the bucket of an account, at a node with `share` of the common limits.
 ///
-/// A part of the tolerance goes into the rate, so that an account that keeps within its quota is hardly
-/// ever refused; the rest covers changes of owners and parts of the nodes that do not see each other. A
-/// node that sees no majority keeps clear of the tolerance.
-fn bucket_of(rules: &QuotaRules, quota: &AccountQuota, share: f64) -> (f64, f64) {
-    let window_s = rules.window.as_secs_f64().max(1.0);
+/// What the tolerance leaves beside changes of owners and parts of the nodes that do not see each other goes into
+/// the rate, so that an account that keeps within its quota is hardly ever refused. A node that sees no
+/// majority keeps clear of the tolerance.
+fn bucket_of(
+    rules: &QuotaRules,
+    quota: &AccountQuota,
+    share: f64,
+    largest_units: f64,
+) -> (f64, f64) {
     // A request larger than the burst must still be possible when the bucket is full.
     let burst = (quota.burst_units * share).max(1.0);
     if share <= MINORITY_QUOTA_SHARE {
         return (quota.units_per_s * share, burst);
     }
-    let plain = quota.units_per_s * window_s + quota.burst_units;
-    let tolerance = plain * rules.tolerated_share + rules.tolerated_units;
-    let rate = quota.units_per_s + tolerance * QUOTA_TOLERANCE_USE / window_s;
+    let window_s = rules.window.as_secs_f64().max(1.0);
+    let rate = quota.units_per_s + usable_tolerance(rules, quota, largest_units) / window_s;
     (rate, burst)
 }
+
+/// Units beyond the plain quota that an owner may give out within a window.
+fn usable_tolerance(rules: &QuotaRules, quota: &AccountQuota, largest_units: f64) -> f64 {
+    let plain = quota.units_per_s * rules.window.as_secs_f64().max(1.0) + quota.burst_units;
+    let tolerance = plain * rules.tolerated_share + rules.tolerated_units;
+    let for_new_owners = OWNER_CHANGES_COVERED * quota.burst_units * NEW_BUCKET_SHARE;
+    let for_minorities = plain * MINORITIES_QUOTA_SHARE;
+    let for_largest = (largest_units - quota.burst_units).max(0.0);
+    let left = tolerance - for_new_owners - for_minorities - for_largest;
+    left.max(tolerance * QUOTA_TOLERANCE_USE)
+}
--- a/crates/dragonflystep_dispatch/tests/decisions.rs
+++ b/crates/dragonflystep_dispatch/tests/decisions.rs
@@ -366,6 +366,36 @@
     assert!(granted <= most, "{granted} of {most}");
 }
 
+#[test]
+fn requests_larger_than_the_burst_stay_within_the_tolerance_over_a_change_of_owner() {
+    let (rate, burst) = (20_000.0, 20_000.0);
+    let mut granted = 0.0;
+    for (from_ms, length_ms) in [(20_000, 5_000), (25_000, 3_000)] {
+        let mut owner = with_quota(rate, burst);
+        if from_ms == 20_000 {
+            let long_before = Duration::from_secs(1);
+            units_granted(&mut owner, long_before, Duration::from_millis(10), 1);
+        }
+        let (from, length) = (
+            Duration::from_millis(from_ms),
+            Duration::from_millis(length_ms),
+        );
+        granted += units_granted(&mut owner, from, length, 60_000);
+    }
+    let most = tolerated(rate, burst);
+    assert!(granted <= most, "{granted} of {most}");
+    assert!(granted >= rate * 8.0, "{granted}");
+}
+
+#[test]
+fn a_small_account_may_use_the_tolerance_for_most_of_a_window() {
+    let (rate, burst) = (20_000.0, 20_000.0);
+    let mut owner = with_quota(rate, burst);
+    let granted = units_granted(&mut owner, AT, Duration::from_secs(8), 380);
+    assert!(granted >= tolerated(rate, burst) * 0.75, "{granted}");
+    assert!(granted <= tolerated(rate, burst), "{granted}");
+}
+
 #[test]
 fn an_account_within_its_quota_is_never_refused() {
     let mut owner = with_quota(100_000.0, 100_000.0);
