Add a randomized soak of real nodes, and keep all that knows the platform in one folder

The stand-ins of the platform's store and workers move into platform/, since they speak its names, and so does the new soak: four nodes as processes behind loopback relays, faults drawn from a seed (signals, harmed ways, a misbehaving store and workers, new configurations, workers that leave), and checks of what callers and workers saw. A node can be told to other nodes at another address than it listens on (listen.peers_advertised).

--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -85,7 +85,7 @@
             node: settings.node.clone(),
             data_centre: settings.data_centre.clone(),
             ingress: settings.ingress.to_string(),
-            peers: settings.peers.to_string(),
+            peers: settings.peers_advertised.to_string(),
             cpu_share: settings.cpu_share,
         };
         Self {
--- a/crates/dragonflystep_edge/src/settings.rs
+++ b/crates/dragonflystep_edge/src/settings.rs
@@ -21,6 +21,8 @@
     pub directory: SocketAddr,
     /// Where other nodes connect.
     pub peers: SocketAddr,
+    /// Where other nodes are told to connect; differs from `peers` behind a relay.
+    pub peers_advertised: SocketAddr,
     /// Where metrics are served; none serves none.
     pub metrics: Option<SocketAddr>,
     /// Share of a core; a node with more owns more.
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -58,6 +58,8 @@
     readiness: SocketAddr,
     directory: SocketAddr,
     peers: SocketAddr,
+    /// Where other nodes reach this one, if not at `peers`; for a relay between them.
+    peers_advertised: Option<SocketAddr>,
     metrics: Option<SocketAddr>,
 }
 
@@ -112,6 +114,7 @@
         readiness: file.listen.readiness,
         directory: file.listen.directory,
         peers: file.listen.peers,
+        peers_advertised: file.listen.peers_advertised.unwrap_or(file.listen.peers),
         metrics: file.listen.metrics,
         cpu_share: file.cpu_share,
         shared_limits: SharedLimits {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 mod node;
 mod output;
 mod report;
+mod soak;
 
 use {
     argh::FromArgs,
@@ -43,6 +44,7 @@
     Experiment(experiment::ExperimentCommand),
     Explain(explain::ExplainCommand),
     Fake(fake::FakeCommand),
+    Soak(soak::SoakCommand),
 }
 
 /// Why a command ended without success.
@@ -82,6 +84,7 @@
         Command::Experiment(command) => command.run(),
         Command::Explain(command) => command.run(),
         Command::Fake(command) => on_runtime(command.run()),
+        Command::Soak(command) => command.run(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
