Count only nodes that see this one too when judging whether it sees the majority

It counted itself to the majority and owned the services for itself, beside the owner of the others; an account got 51,800 units in 8 s where 51,600 are tolerated. Ruled out: changes of owner (two within the window, which the tolerance covers). Change: a node says in each exchange whom it misses; who is missed by a node does not count it as seen. A call that arrives takes that back, and a failed node that calls is called at once.

--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -58,12 +58,15 @@
     }
 }
 
-async fn exchange_with(node: Rc<Node>, peer: NodeName) {
+/// Exchanges views with a node, and notes whether it answers.
+pub(crate) async fn exchange_with(node: Rc<Node>, peer: NodeName) {
     let Some(link) = node.members.link(&peer) else {
         return;
     };
     let mut digest = node.empty_digest();
     digest.unavailable = node.members.own_unavailable();
+    // If this arrives, the other node can be called.
+    digest.unavailable.retain(|other| *other != peer);
     match link.exchange(&digest, EXCHANGE_TIMEOUT).await {
         Ok(theirs) => {
             node.members.answered(&peer, theirs.is_leaving);
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -28,6 +28,8 @@
     /// Whether its machine said that no process listens there; such a node runs nothing.
     is_down: bool,
     is_leaving: bool,
+    /// Whether it said that this node is unavailable to it.
+    misses_us: bool,
     /// Until when it counts as unavailable because others said so.
     told_unavailable_until: MonotonicTime,
 }
@@ -98,14 +100,16 @@
         others.values().filter(|other| !other.is_down).count() + 1
     }
 
-    /// Nodes that are seen, this one included.
-    pub(crate) fn visible_count(&self, now: MonotonicTime) -> usize {
+    /// Nodes that are seen and see this one, itself included.
+    ///
+    /// Whoever can call others but can't be called would otherwise count itself to the majority, beside the nodes
+    /// that go by another owner; both gave out an account's whole quota.
+    pub(crate) fn mutual_count(&self, now: MonotonicTime) -> usize {
         let others = self.others.borrow();
-        others
+        let mutual = others
             .values()
-            .filter(|other| other.is_visible(now))
-            .count()
-            + 1
+            .filter(|other| other.is_visible(now) && !other.misses_us);
+        mutual.count() + 1
     }
 
     pub(crate) fn link(&self, node: &str) -> Option<Rc<PeerLink>> {
@@ -198,6 +202,19 @@
         }
     }
 
+    /// Notes whether a node counts this one as unavailable.
+    pub(crate) fn set_misses_us(&self, node: &str, unavailable: &[NodeName]) {
+        if let Some(other) = self.others.borrow_mut().get_mut(node) {
+            other.misses_us = unavailable.contains(&self.own.node);
+        }
+    }
+
+    /// Whether a node did not answer this one when it was called last.
+    pub(crate) fn has_failed(&self, node: &str) -> bool {
+        let others = self.others.borrow();
+        others.get(node).is_some_and(|other| other.has_failed)
+    }
+
     /// Nodes that do not answer this one.
     pub(crate) fn failed_nodes(&self) -> Vec<NodeName> {
         self.nodes_where(|other| other.has_failed)
@@ -287,6 +304,7 @@
             has_failed: false,
             is_down: false,
             is_leaving: false,
+            misses_us: false,
             told_unavailable_until: MonotonicTime::ZERO,
         }
     }
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -229,7 +229,7 @@
     /// Tells the owner's side how many of the nodes are seen.
     pub(crate) fn update_reach(&self) {
         self.owner.set_reach(Reach {
-            visible: self.members.visible_count(self.owner.now()),
+            visible: self.members.mutual_count(self.owner.now()),
             known: self.members.known_count(),
         });
     }
@@ -241,7 +241,7 @@
             ("catalogue_version", self.views.catalogue_version() as f64),
             ("registry_version", self.views.registry().version as f64),
             ("members_known", self.members.known_count() as f64),
-            ("members_visible", self.members.visible_count(now) as f64),
+            ("members_visible", self.members.mutual_count(now) as f64),
             ("runs_of_this_entry", self.entry_runs.count() as f64),
             ("requests_waiting_here", self.owner.waiting_count() as f64),
         ]
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -62,6 +62,9 @@
             self.members.told(now, &theirs.unavailable);
         }
         self.members.set_leaving(&theirs.node, theirs.is_leaving);
+        self.members
+            .set_misses_us(&theirs.node, &theirs.unavailable);
+        self.update_reach();
         if !theirs.members.is_empty() {
             match serde_json::from_slice(&theirs.members) {
                 Ok(records) => self.learn_members(theirs.members_version, records, &theirs.node),
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -1,7 +1,7 @@
 //! What this node does for another node that connected.
 
 use {
-    crate::{node::Node, owner::cancelled},
+    crate::{exchange::exchange_with, node::Node, owner::cancelled},
     dragonflystep_dispatch::{
         Ask, Ended, Event, RunId, RunningRun, ServiceName, UpstreamLoad, Verdict,
     },
@@ -77,6 +77,10 @@
 
     fn exchange(&self, digest: Digest) -> Digest {
         self.node.exchanged(&digest, true);
+        if self.node.members.has_failed(&digest.node) {
+            // It runs; whether it can be called is tried at once, so that both see each other again.
+            spawn_local(exchange_with(self.node.clone(), digest.node.clone()));
+        }
         let unavailable = self.node.members.all_unavailable(self.node.owner.now());
         self.node.digest_for(&digest, unavailable)
     }
