Report service-level burn over edge nodes, and fill their metrics page

A route's requests are counted by how they ended (in time, late, refused, failed, caller left); report edge joins the pages of all nodes. The page gains time queued, longest pause, outcomes at upstreams, changes of owner, calls to the platform by outcome and how long it has been silent.

--- a/crates/dragonflystep_dispatch/src/ask.rs
+++ b/crates/dragonflystep_dispatch/src/ask.rs
@@ -135,6 +135,28 @@
     Cancelled,
 }
 
+impl RunOutcome {
+    /// Its name in logs and metrics.
+    ///
+    /// # Examples
+    /// ```
+    /// use dragonflystep_dispatch::RunOutcome;
+    ///
+    /// assert_eq!(RunOutcome::Broken.name(), "broken");
+    /// ```
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Rejected => "rejected",
+            Self::Misdirected => "misdirected",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// The end of a run, with what it tells of the upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ended {
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -8,6 +8,7 @@
     crate::{
         answer::{AnswerBody, end_to_end_headers},
         answers_of_own::OwnAnswer,
+        burn::{FAILED, IN_TIME, LATE, REFUSED},
         dialect::{AnswerFacts, RequestFacts, UpstreamFacts},
         limits::{ELSEWHERE_RETRY_AFTER, LATE_ANSWER_MARGIN, MOST_PLACES_ASKED},
         node::Node,
@@ -86,6 +87,7 @@
                 Ok(place) => place,
                 Err(refusal) => break self.refused(refusal, &attempts, fallback),
             };
+            attempts.observe_queued(&self);
             match self.clone().send(&mut attempts, place).await {
                 Sent::Streaming(relay) => return relay.start(self, attempts),
                 Sent::Whole(response) => {
@@ -314,6 +316,11 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
+    /// Counts how the request ended, for the burn report.
+    pub(crate) fn count_end(&self, counter: &'static str) {
+        self.node.metrics.count(counter, &self.route.name);
+    }
+
     /// Ends a request that no further upstream gets.
     fn gave_up(
         &self,
@@ -349,6 +356,7 @@
         self.node
             .metrics
             .observe("request_ms", &self.route.name, elapsed);
+        self.count_end(end_of(status, elapsed <= self.route.objective));
         log::info!(request:% = self.facts.request_id, route:% = self.route.name, status = status.as_u16(), upstream = attempts.last_upstream(), sent = attempts.sent, queued_ms = ms(attempts.queued), total_ms = ms(elapsed), catalogue = self.node.views.catalogue_version(); "request ended");
     }
 }
@@ -369,6 +377,12 @@
         self.avoid.last().map_or("", |upstream| &**upstream)
     }
 
+    /// Notes the time spent waiting for places.
+    pub(crate) fn observe_queued(&self, job: &Job) {
+        let metrics = &job.node.metrics;
+        metrics.observe("queued_ms", &job.route.name, self.queued);
+    }
+
     /// Notes a further upstream of a stream that goes on.
     pub(crate) fn count_resumed(&mut self, upstream: &UpstreamId) {
         self.sent += 1;
@@ -376,6 +390,16 @@
     }
 }
 
+/// The counter of a request that ended with `status`.
+fn end_of(status: StatusCode, is_in_time: bool) -> &'static str {
+    match status.as_u16() {
+        408 | 421 | 429 | 503 => REFUSED,
+        code if code >= 500 => FAILED,
+        _ if is_in_time => IN_TIME,
+        _ => LATE,
+    }
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     // A part of a valid URI is one.
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod answers_of_own;
+mod burn;
 mod connection_io;
 mod dialect;
 mod event_stream;
@@ -33,6 +34,7 @@
 
 pub use self::{
     answer::{AnswerBody, AnswerCut, end_to_end_headers},
+    burn::{EdgeBurnReport, RouteBurn},
     dialect::{AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, UpstreamFacts},
     logs::{LogBuffer, LogError, start_log},
     metrics::Metrics,
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -26,7 +26,7 @@
         Event, MonotonicTime, NodeName, Reach, RoutingTable, RunId, Upstream, UpstreamPhase,
     },
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
         future::Future,
         io,
         net::SocketAddr,
@@ -76,6 +76,10 @@
     runs_started: Cell<u32>,
     /// When another node last answered an exchange.
     exchanged_at: Cell<MonotonicTime>,
+    /// When the platform last answered a call.
+    platform_answered_at: Cell<MonotonicTime>,
+    /// The node that was asked for a place last.
+    last_owner: RefCell<Option<NodeName>>,
 }
 
 impl Node {
@@ -101,6 +105,8 @@
             incarnation,
             runs_started: Cell::new(0),
             exchanged_at: Cell::new(Duration::ZERO),
+            platform_answered_at: Cell::new(Duration::ZERO),
+            last_owner: RefCell::default(),
             settings,
             dialect,
         }
@@ -126,6 +132,26 @@
             || is_first(&self.ranked_owners(), PREFERRED_OWNERS)
     }
 
+    /// Counts a call to the platform by its outcome; `has_answered` says whether the platform did what was asked.
+    pub fn note_platform_call(&self, outcome: &'static str, has_answered: bool) {
+        self.metrics.count("platform_calls_total", outcome);
+        if has_answered {
+            self.platform_answered_at.set(self.owner.now());
+        }
+    }
+
+    /// Notes which node is asked for places, if that changed.
+    pub(crate) fn note_owner(&self, owner: Option<&NodeName>) {
+        let mut last = self.last_owner.borrow_mut();
+        if last.as_ref() == owner {
+            return;
+        }
+        let name = |node: Option<&NodeName>| node.map_or(String::new(), ToString::to_string);
+        log::info!(owner = name(owner), before = name(last.as_ref()), members = self.members.version(); "owner changed");
+        self.metrics.count("owner_changes_total", "services");
+        *last = owner.cloned();
+    }
+
     /// Nodes that are listed, this one included.
     pub fn listed_nodes(&self) -> usize {
         self.members.listed_count()
@@ -238,6 +264,11 @@
     pub(crate) fn gauges(&self) -> Vec<(&'static str, f64)> {
         let now = self.owner.now();
         vec![
+            (
+                "platform_silent_s",
+                now.saturating_sub(self.platform_answered_at.get())
+                    .as_secs_f64(),
+            ),
             ("catalogue_version", self.views.catalogue_version() as f64),
             ("registry_version", self.views.registry().version as f64),
             ("members_known", self.members.known_count() as f64),
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -123,6 +123,8 @@
 
     fn tell(&mut self, outcome: RunOutcome, figures: RunFigures) {
         self.is_ended = true;
+        let metrics = &self.node.metrics;
+        metrics.count("upstream_outcomes_total", outcome.name());
         let Some(run) = self.node.entry_runs.runs.borrow_mut().remove(&self.run) else {
             return;
         };
@@ -154,6 +156,7 @@
     let started = Instant::now();
     let (objective_left, time_left) = (ask.objective_left, ask.time_left);
     let ranked = node.ranked_owners();
+    node.note_owner(ranked.first());
     let mut asked = 0;
     for owner in ranked {
         if owner == node.settings.node || asked == MOST_OWNERS_ASKED {
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         answer::{AnswerBody, AnswerCut, end_to_end_headers},
+        burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
         dialect::AnswerFacts,
         event_stream::{EventCutter, StreamEvent},
         job::{Attempts, Job, Sent, ms},
@@ -221,6 +222,17 @@
             .map_err(|_| AnswerCut)
     }
 
+    /// Whether the first event came in time, and no pause was too long.
+    fn is_in_time(&self, job: &Job) -> bool {
+        let RouteKind::Stream { longest_pause, .. } = job.route.kind else {
+            return false;
+        };
+        let is_first_in_time = self
+            .first_event_after
+            .is_some_and(|after| after <= job.route.objective);
+        is_first_in_time && self.longest_pause <= longest_pause
+    }
+
     fn has(&self, id: &str) -> bool {
         let last = self.last_event_id.as_deref();
         let number = |text: &str| text.parse::<u64>().ok();
@@ -241,6 +253,7 @@
                 return;
             }
             PartEnd::CallerLeft => {
+                job.count_end(CALLER_LEFT);
                 log::info!(request:% = job.facts.request_id; "caller left during its stream");
                 return;
             }
@@ -253,6 +266,7 @@
         let Some(next) = next else {
             log::warn!(request:% = job.facts.request_id, sent = attempts.sent; "a stream is cut");
             job.node.metrics.count("streams_cut_total", &job.route.name);
+            job.count_end(FAILED);
             // The caller may have left meanwhile, which comes to the same.
             let _ = caller.pieces.send(Err(AnswerCut)).await;
             return;
@@ -262,6 +276,14 @@
 }
 
 fn log_stream_end(job: &Job, attempts: &Attempts, caller: &CallerSide) {
+    let (metrics, route) = (&job.node.metrics, &job.route.name);
+    metrics.observe("request_ms", route, job.arrived.elapsed());
+    metrics.observe("longest_pause_ms", route, caller.longest_pause);
+    job.count_end(if caller.is_in_time(job) {
+        IN_TIME
+    } else {
+        LATE
+    });
     let first_ms = caller.first_event_after.map_or(0, ms);
     log::info!(request:% = job.facts.request_id, route:% = job.route.name, status = 200, upstream:% = attempts.last_upstream(), sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod check;
 mod demo;
 mod edge;
+mod edge_report;
 mod experiment;
 mod explain;
 mod fake;
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -24,6 +24,7 @@
 #[argh(subcommand)]
 enum Action {
     Burn(Burn),
+    Edge(super::edge_report::EdgeBurn),
 }
 
 /// Service-level burn by service and tier over all nodes.
@@ -55,8 +56,10 @@
 
 impl ReportCommand {
     pub async fn run(self) -> Result<(), Failure> {
-        let Action::Burn(burn) = self.action;
-        burn.run().await
+        match self.action {
+            Action::Burn(burn) => burn.run().await,
+            Action::Edge(burn) => burn.run().await,
+        }
     }
 }
 
