--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test uses a part of the support")]
 
 mod engine;
+pub mod verdicts;
 
 use {
     self::engine::{EngineModel, EngineRun, TOKENS_PER_EVENT},
