--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -74,7 +74,7 @@
 /// Time between two log lines of what an owner believes; a stream's usual length.
 pub(crate) const BELIEF_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Failed nodes beside the neighbours that are tried again at each exchange; a zone of the deployments seen
+/// Failed nodes beside the neighbours that are tried again at each exchange; a data centre of the deployments seen
 /// has more nodes, but few of them are ever called by one that is no neighbour.
 pub(crate) const MOST_FAILED_RETRIED: usize = 6;
 
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -268,7 +268,7 @@
         self.told(now, nodes);
     }
 
-    /// Takes in what an asked node says; not passed on, so that no rumour goes in circles.
+    /// Takes in what an asked node says; not passed on, so that it does not go on circulating.
     pub(crate) fn told(&self, now: MonotonicTime, nodes: &[NodeName]) {
         // With few nodes each one tries all others itself.
         if nodes.is_empty() || self.listed_count() <= SMALL_SYSTEM_NODES {
