--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -71,6 +71,11 @@
         self.list.borrow().version()
     }
 
+    /// Whether the list names this node.
+    pub(crate) fn lists_own(&self) -> bool {
+        self.list.borrow().contains(&self.own.node)
+    }
+
     /// The version to tell other nodes.
     pub(crate) fn told_version(&self) -> u64 {
         self.list.borrow().told_version()
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -158,6 +158,11 @@
         self.members.listed_count()
     }
 
+    /// Whether the list of nodes in force names this node.
+    pub fn is_listed(&self) -> bool {
+        self.members.lists_own()
+    }
+
     /// How other nodes find this one.
     pub fn member_record(&self) -> &MemberRecord {
         self.members.own()
--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -82,6 +82,10 @@
         self.held.values().map(|held| &held.entry)
     }
 
+    pub(crate) fn contains(&self, key: &str) -> bool {
+        self.held.contains_key(key)
+    }
+
     /// Takes over a whole list, unless the present one is as new.
     pub(crate) fn replace(&mut self, version: u64, entries: Vec<T>) -> bool {
         if version < self.version || version == self.version && !self.wants_whole {
