Look at the reach once an exchange round again, not at each exchange

The reach was looked at in each exchange, so that a node that had just started counted itself to a minority for a moment and refused 12 in 1,000 requests.

--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -62,7 +62,6 @@
         self.members.set_leaving(&theirs.node, theirs.is_leaving);
         self.members
             .set_misses_us(&theirs.node, &theirs.unavailable);
-        self.update_reach();
         if let Some(changes) = from_json(&theirs.members, "list of nodes", &theirs.node) {
             self.learn_member_changes(changes, &theirs.node);
         }
