--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -25,7 +25,8 @@
     /// Refuses those who have waited as long as they may.
     pub(crate) fn expire_waiting(&mut self, now: MonotonicTime, effects: &mut Vec<Effect>) {
         for waiting in self.queue.take_expired(now) {
-            self.note_refused(now, &waiting.ask, waiting.first_asked_at);
+            self.refused
+                .refused(now, &waiting.ask, waiting.first_asked_at);
             let wait = self.estimate_wait(now, waiting.ask.tier, true, waiting.run_ms);
             effects.push(Effect {
                 run: waiting.ask.run,
@@ -39,20 +40,10 @@
             .retain(|_, run| now < run.end_expected_at + run.ask.time_left);
     }
 
-    /// Remembers a request that is refused, for the case that its caller comes back.
-    pub(super) fn note_refused(
-        &mut self,
-        now: MonotonicTime,
-        ask: &Ask,
-        first_asked_at: MonotonicTime,
-    ) {
-        self.refused.refused(now, ask, first_asked_at);
-    }
-
     /// Remembers a request that is refused before it came to wait.
     pub(crate) fn note_refused_at_once(&mut self, now: MonotonicTime, ask: &Ask) {
         let first = self.refused.first_asked_at(now, ask.fingerprint);
-        self.note_refused(now, ask, first.unwrap_or(now));
+        self.refused.refused(now, ask, first.unwrap_or(now));
     }
 
     pub(super) fn refuse_waiting(
@@ -64,7 +55,8 @@
     ) {
         let reason = self.reason_to_refuse();
         if let Some(waiting) = self.queue.remove(run) {
-            self.note_refused(now, &waiting.ask, waiting.first_asked_at);
+            self.refused
+                .refused(now, &waiting.ask, waiting.first_asked_at);
             effects.push(Effect {
                 run: waiting.ask.run,
                 verdict: Verdict::Refused(refuse(reason, wait)),
