--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -152,6 +152,11 @@
         effects
     }
 
+    /// Services that something is known of.
+    pub fn service_count(&self) -> usize {
+        self.pools.len()
+    }
+
     /// What the owner believes of the services for which it granted a place since the last call.
     pub fn summaries(&mut self, now: MonotonicTime) -> Vec<PoolSummary> {
         let summaries = self
@@ -265,6 +270,8 @@
         for (name, pool) in &mut self.pools {
             pool.set_upstreams(by_service.remove(name).unwrap_or_default());
         }
+        // Entries of the registry may name any service; what they leave behind must not pile up.
+        self.pools.retain(|_, pool| !pool.is_unused());
     }
 
     fn place_all(&mut self, now: MonotonicTime, effects: &mut Vec<Effect>) {
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -75,6 +75,15 @@
         }
     }
 
+    /// Whether nothing would be lost with it.
+    pub(crate) fn is_unused(&self) -> bool {
+        self.engine.is_none()
+            && self.upstreams.is_empty()
+            && self.orphans.is_empty()
+            && self.queue.is_empty()
+            && self.retries.is_empty()
+    }
+
     /// Places a new request, lets it wait or refuses it.
     pub(crate) fn asked(&mut self, now: MonotonicTime, mut ask: Ask, effects: &mut Vec<Effect>) {
         let earlier = self.refused.first_asked_at(now, ask.fingerprint);
--- a/crates/dragonflystep_dispatch/src/retry_budget.rs
+++ b/crates/dragonflystep_dispatch/src/retry_budget.rs
@@ -30,6 +30,11 @@
 }
 
 impl RetryBudget {
+    /// Whether nothing was counted yet.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.seconds.is_empty()
+    }
+
     /// Counts a request that came for the first time.
     pub(crate) fn count_request(&mut self, now: MonotonicTime, limits: RetryLimits) {
         self.current(now, limits).requests += 1;
--- a/crates/dragonflystep_dispatch/tests/decisions.rs
+++ b/crates/dragonflystep_dispatch/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use {
     dragonflystep_dispatch::{
-        Ask, Event, Reach, RefusalReason, RunId, RunOutcome, RunningRun, UpstreamLoad,
+        Ask, Event, Reach, RefusalReason, RunId, RunOutcome, RunningRun, Upstream, UpstreamLoad,
         UpstreamPhase, Verdict,
     },
     std::time::Duration,
@@ -275,3 +275,40 @@
         [3]
     );
 }
+
+#[test]
+fn an_upstream_that_starts_again_is_one_that_nothing_is_known_of() {
+    let mut owner = dispatcher(1, 1);
+    for run in 1..=4 {
+        let at = AT + Duration::from_millis(run);
+        granted_to(ask(&mut owner, at, plain_ask(run, 0)));
+        owner.reduce(at, ended(run, RunOutcome::Failed));
+    }
+    let before = granted_to(ask(&mut owner, AT, plain_ask(5, 0)));
+    assert_eq!(before, "engine-0");
+    // The start after it has an id of its own; neither the run that is under way nor a rest is its own.
+    let again = Upstream {
+        id: "engine-0@2".into(),
+        ..upstream(0, 1)
+    };
+    let at = AT + Duration::from_millis(10);
+    owner.reduce(at, Event::UpstreamsChanged(vec![again]));
+    let after = granted_to(ask(&mut owner, at, plain_ask(6, 0)));
+    assert_eq!(after, "engine-0@2");
+    // The end of the former run frees no place of the new start.
+    owner.reduce(at, ended(5, RunOutcome::Completed));
+    assert_eq!(ask(&mut owner, at, plain_ask(7, 0)), None);
+}
+
+#[test]
+fn services_that_only_the_registry_names_leave_nothing_behind() {
+    let mut owner = dispatcher(1, 1);
+    for number in 0..100 {
+        let stranger = Upstream {
+            service: format!("service-{number}").into(),
+            ..upstream(1, 4)
+        };
+        owner.reduce(AT, Event::UpstreamsChanged(vec![upstream(0, 1), stranger]));
+    }
+    assert!(owner.service_count() <= 2);
+}
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -302,6 +302,7 @@
             ("members_visible", self.members.mutual_count(now) as f64),
             ("runs_of_this_entry", self.entry_runs.count() as f64),
             ("requests_waiting_here", self.owner.waiting_count() as f64),
+            ("services_known", self.owner.service_count() as f64),
         ]
     }
 }
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -51,6 +51,11 @@
         self.waiting.borrow().len()
     }
 
+    /// Services that something is known of here.
+    pub(crate) fn service_count(&self) -> usize {
+        self.dispatcher.borrow().service_count()
+    }
+
     /// Hands an event to the dispatcher and its verdicts to those who wait for them.
     pub(crate) fn apply(&self, event: Event) {
         let effects = self.dispatcher.borrow_mut().reduce(self.now(), event);
