Count at the entry what a dying engine broke off

Cause of the known red line: the test bounded failed requests by what the engine's stand-in had read when it died; a request on its way to it fails too. Nothing told where a broken request had been sent.

Change: the entry logs each stream that breaks off, with its upstream.

--- a/crates/dragonflystep_gateway/src/upstream/dispatch.rs
+++ b/crates/dragonflystep_gateway/src/upstream/dispatch.rs
@@ -259,6 +259,9 @@
 
 /// Tells that the stream broke after what arrived of it.
 pub(crate) fn broken(request: &OpenRequest, silent: bool) {
+    let attempt = request.attempt();
+    let upstream = attempt.map_or(String::new(), |attempt| attempt.target.address.to_string());
+    log::info!(request = request.id, upstream, tokens = request.tokens(), silent; "upstream broke off");
     request.tell(UpstreamEvent::StreamBroken {
         request: request.id,
         tokens: request.tokens(),
