Tell a new owner what accounts spent, and let a node look around before it counts itself to the majority

Cause: a soak exceeded a quota. Six nodes followed one another as owners within 5 s; each began with a quarter of every account's burst, and the tolerance covers two changes. A node that had just started counted all listed nodes as seen, was an owner with whole quotas 2 ms after its start, and knew nothing.

Change: each entry keeps what accounts spent through it within the last window and tells it to an owner before its first request to it. A new owner begins an account with what is left by these reports; an entry that has not told counts as one that spent its part. When another owner granted in between, all is counted anew. So a series of owners gives out no more than one owner does, however many there are, and nothing of the tolerance is kept for changes of owner. A node that has not yet tried half of its neighbours counts as seeing itself alone; it tries them as soon as it knows the list.

Ruled out: beginning every account with nothing at a new owner and no reports; it holds the bound too but refuses bursts that are within the quota.

One test's set-up is changed: an_account_within_its_quota_is_never_refused now tells the owner of the time before it, as entries do.

--- a/crates/dragonflystep_dispatch/src/ask.rs
+++ b/crates/dragonflystep_dispatch/src/ask.rs
@@ -136,6 +136,11 @@
 }
 
 impl RunOutcome {
+    /// Whether the request may have run, and so counts against quotas.
+    pub fn has_run(self) -> bool {
+        !matches!(self, Self::Rejected | Self::Unreachable | Self::Misdirected)
+    }
+
     /// Its name in logs and metrics.
     ///
     /// # Examples
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
         quota::{QuotaRules, Quotas},
         refusal::refuse,
         retry_budget::RetryLimits,
+        spending::SpendingReport,
         upstream::Upstream,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
@@ -50,6 +51,10 @@
     Ended(Ended),
     /// An entry told of a run that another owner granted.
     Adopted(RunningRun),
+    /// An entry told what accounts spent through it, before it asks this owner.
+    SpendingTold(SpendingReport),
+    /// The list of nodes changed; their number.
+    NodesListed(usize),
     /// The limits for all nodes together changed.
     LimitsChanged(SharedLimits),
     /// A new version of the catalogue is in force.
@@ -121,6 +126,8 @@
                 let pool = self.pools.entry(running.ask.service.clone()).or_default();
                 pool.adopted(now, running);
             }
+            Event::SpendingTold(report) => self.quotas.told(now, report),
+            Event::NodesListed(nodes) => self.quotas.set_listed(now, nodes),
             Event::LimitsChanged(limits) => {
                 self.retry_limits = limits.retries();
                 self.quotas.set_rules(limits.quota);
@@ -233,13 +240,13 @@
             match ended.outcome {
                 RunOutcome::Broken => self.suspects.broke(now, end.fingerprint),
                 RunOutcome::Completed => self.suspects.completed(end.fingerprint),
-                RunOutcome::Rejected | RunOutcome::Unreachable | RunOutcome::Misdirected => {
-                    if let Some(account) = &end.ask.account {
-                        self.quotas
-                            .give_back(account, f64::from(end.ask.quota_units));
-                    }
-                }
-                RunOutcome::Failed | RunOutcome::Cancelled => {}
+                _ => {}
+            }
+            if !ended.outcome.has_run()
+                && let Some(account) = &end.ask.account
+            {
+                self.quotas
+                    .give_back(account, f64::from(end.ask.quota_units));
             }
         }
         pool.place_waiting(now, effects);
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry_budget;
 mod routing;
 mod speed;
+mod spending;
 mod upstream;
 
 pub use self::{
@@ -41,5 +42,6 @@
     pool::{PoolSummary, UpstreamSummary},
     quota::QuotaRules,
     routing::{RouteMatch, RoutingError, RoutingTable},
+    spending::{AccountSpending, SpendingLedger, SpendingReport, SpentSlice},
     upstream::{Upstream, UpstreamPhase},
 };
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -97,16 +97,10 @@
 /// were given more than the tolerance by two changes of owner.
 pub(crate) const QUOTA_TOLERANCE_USE: f64 = 0.4;
 
-/// Changes of owner within a window that the tolerance covers.
-pub(crate) const OWNER_CHANGES_COVERED: f64 = 2.0;
-
 /// Share of an account's quota that nodes which see no majority may give out together, at most: less than half
 /// of the nodes, each part with the minority's share of its fraction.
 pub(crate) const MINORITIES_QUOTA_SHARE: f64 = MINORITY_QUOTA_SHARE / 2.0;
 
-/// Share of the burst that an account has at an owner that has just begun to count.
-pub(crate) const NEW_BUCKET_SHARE: f64 = 0.25;
-
 /// Parts of prompts remembered for an upstream whose memory for prompts is not known, in tokens.
 pub(crate) const DEFAULT_CACHE_TOKENS: u64 = 400_000;
 
--- a/crates/dragonflystep_dispatch/src/quota.rs
+++ b/crates/dragonflystep_dispatch/src/quota.rs
@@ -1,13 +1,14 @@
 //! Quotas of accounts: one token bucket an account, at the owner of a service.
 
+mod handover;
+
 use {
+    self::handover::{Told, ToldSpending},
     crate::{
         catalogue::AccountQuota,
         ids::{AccountName, MonotonicTime},
-        limits::{
-            MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, NEW_BUCKET_SHARE, OWNER_CHANGES_COVERED,
-            QUOTA_TOLERANCE_USE,
-        },
+        limits::{MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, QUOTA_TOLERANCE_USE},
+        spending::SpendingReport,
     },
     std::{collections::HashMap, time::Duration},
 };
@@ -29,6 +30,7 @@
     rules: QuotaRules,
     limits: HashMap<AccountName, AccountQuota>,
     buckets: HashMap<AccountName, Bucket>,
+    told: ToldSpending,
 }
 
 #[derive(Debug)]
@@ -37,6 +39,10 @@
     /// The largest request so far; one that is larger than the bucket takes it below zero.
     largest_units: f64,
     filled_at: MonotonicTime,
+    began_at: MonotonicTime,
+    /// What it began with, by what entries had told up to `told_version`.
+    began_with: f64,
+    told_version: u64,
 }
 
 impl Quotas {
@@ -45,6 +51,7 @@
             rules,
             limits: HashMap::new(),
             buckets: HashMap::new(),
+            told: ToldSpending::default(),
         }
     }
 
@@ -60,6 +67,18 @@
         self.limits = limits;
     }
 
+    /// Takes in how many nodes are listed.
+    pub(crate) fn set_listed(&mut self, now: MonotonicTime, nodes: usize) {
+        self.told.set_listed(now, self.rules.window, nodes);
+    }
+
+    /// Takes in what an entry tells of the time before it asked this owner.
+    pub(crate) fn told(&mut self, now: MonotonicTime, report: SpendingReport) {
+        if self.told.told(now, self.rules.window, report) == Told::Anew {
+            self.buckets.clear();
+        }
+    }
+
     /// Takes `units` of an account; tells how long until they would be there if they are not.
     pub(crate) fn take(
         &mut self,
@@ -71,13 +90,12 @@
         let Some(quota) = self.limits.get(account) else {
             return Ok(());
         };
-        // A new owner does not know what was used under the one before; a bucket that starts low keeps
-        // both together within the tolerance.
-        let bucket = self.buckets.entry(account.clone()).or_insert(Bucket {
-            units: quota.burst_units * share.min(1.0) * NEW_BUCKET_SHARE,
-            largest_units: 0.0,
-            filled_at: now,
-        });
+        let (told, window) = (&self.told, self.rules.window);
+        let bucket = self
+            .buckets
+            .entry(account.clone())
+            .or_insert_with(|| Bucket::new(now));
+        bucket.take_in(told, window, account, quota, share);
         bucket.largest_units = bucket.largest_units.max(units);
         let (rate, burst) = bucket_of(&self.rules, quota, share, bucket.largest_units);
         let passed = now.saturating_sub(bucket.filled_at).as_secs_f64();
@@ -102,10 +120,41 @@
     }
 }
 
+impl Bucket {
+    /// One that holds nothing until it is known what its account spent before.
+    fn new(now: MonotonicTime) -> Self {
+        Self {
+            units: 0.0,
+            largest_units: 0.0,
+            filled_at: now,
+            began_at: now,
+            began_with: 0.0,
+            told_version: 0,
+        }
+    }
+
+    /// Corrects what it began with by what entries told since the last look.
+    fn take_in(
+        &mut self,
+        told: &ToldSpending,
+        window: Duration,
+        account: &AccountName,
+        quota: &AccountQuota,
+        share: f64,
+    ) {
+        if self.told_version == told.version() {
+            return;
+        }
+        self.told_version = told.version();
+        let level = told.level_at(self.began_at, window, account, quota) * share.min(1.0);
+        self.units += level - self.began_with;
+        self.began_with = level;
+    }
+}
+
 /// Rate and size of the bucket of an account, at a node with `share` of the common limits.
 ///
-/// What the tolerance leaves beside changes of owners and parts of the nodes that do not see each other goes into
-/// the rate, so that an account that keeps within its quota is hardly ever refused. A node that sees no
+/// What the tolerance leaves beside parts of the nodes that do not see each other goes into the rate, so that an account that keeps within its quota is hardly ever refused. A node that sees no
 /// majority keeps clear of the tolerance.
 fn bucket_of(
     rules: &QuotaRules,
@@ -127,9 +176,8 @@
 fn usable_tolerance(rules: &QuotaRules, quota: &AccountQuota, largest_units: f64) -> f64 {
     let plain = quota.units_per_s * rules.window.as_secs_f64().max(1.0) + quota.burst_units;
     let tolerance = plain * rules.tolerated_share + rules.tolerated_units;
-    let for_new_owners = OWNER_CHANGES_COVERED * quota.burst_units * NEW_BUCKET_SHARE;
     let for_minorities = plain * MINORITIES_QUOTA_SHARE;
     let for_largest = (largest_units - quota.burst_units).max(0.0);
-    let left = tolerance - for_new_owners - for_minorities - for_largest;
+    let left = tolerance - for_minorities - for_largest;
     left.max(tolerance * QUOTA_TOLERANCE_USE)
 }
--- /dev/null
+++ b/crates/dragonflystep_dispatch/src/quota/handover.rs
@@ -0,0 +1,175 @@
+//! What a new owner of the quotas is told of the time before it, and what accounts have left by that.
+
+use {
+    crate::{
+        catalogue::AccountQuota,
+        ids::{AccountName, MonotonicTime, NodeName},
+        spending::SpendingReport,
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+/// What entries told of accounts' spending before they asked this owner.
+#[derive(Debug, Default)]
+pub(crate) struct ToldSpending {
+    entries: HashMap<NodeName, KnownEntry>,
+    accounts: HashMap<AccountName, Vec<ToldSlice>>,
+    /// Nodes that were listed, with the time up to which they were.
+    listed: Vec<(usize, MonotonicTime)>,
+    /// Counts what was told, to notice when there is something new.
+    version: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownEntry {
+    /// Since when this owner knows all that went through it, in seconds of its clock; may lie before the
+    /// clock's zero.
+    since_s: f64,
+    told_at: MonotonicTime,
+    /// Whether another owner may have granted it something that it has not told.
+    is_outdated: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ToldSlice {
+    at_s: f64,
+    units: f64,
+}
+
+/// What a report means for what was known before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Told {
+    /// It adds to it.
+    More,
+    /// Another owner granted meanwhile; buckets that were counted without it are wrong.
+    Anew,
+}
+
+impl ToldSpending {
+    /// Changes whenever something was told.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Notes how many nodes are listed from now on.
+    pub(crate) fn set_listed(&mut self, now: MonotonicTime, window: Duration, nodes: usize) {
+        if let Some((_, until)) = self.listed.last_mut() {
+            *until = now;
+        }
+        self.listed.retain(|(_, until)| *until + window > now);
+        self.listed.push((nodes, MonotonicTime::MAX));
+    }
+
+    /// Takes in what an entry tells.
+    pub(crate) fn told(
+        &mut self,
+        now: MonotonicTime,
+        window: Duration,
+        report: SpendingReport,
+    ) -> Told {
+        let mut told = Told::More;
+        if let Some(known) = self.entries.get_mut(&report.node)
+            && !known.is_outdated
+        {
+            if !granted_by_others(&report, now.saturating_sub(known.told_at)) {
+                known.told_at = now;
+                return told;
+            }
+            self.begin_anew(now);
+            told = Told::Anew;
+        }
+        self.accept(now, window, report);
+        told
+    }
+
+    /// Forgets what was told: another node was the owner in between, and all entries will tell again.
+    fn begin_anew(&mut self, now: MonotonicTime) {
+        self.accounts.clear();
+        for known in self.entries.values_mut() {
+            known.since_s = now.as_secs_f64();
+            known.is_outdated = true;
+        }
+    }
+
+    fn accept(&mut self, now: MonotonicTime, window: Duration, report: SpendingReport) {
+        self.version += 1;
+        let now_s = now.as_secs_f64();
+        let reach_s = report.covers.min(window).as_secs_f64();
+        let known = KnownEntry {
+            since_s: now_s - reach_s,
+            told_at: now,
+            is_outdated: false,
+        };
+        // What this owner granted after that moment it has counted itself.
+        let counted_since_s = self
+            .entries
+            .insert(report.node, known)
+            .map_or(f64::INFINITY, |before| before.since_s);
+        for spending in report.accounts {
+            let slices = self.accounts.entry(spending.account).or_default();
+            slices.retain(|slice| slice.at_s + window.as_secs_f64() > now_s);
+            slices.extend(spending.slices.iter().map(|slice| {
+                let at_s = now_s - slice.age.as_secs_f64();
+                let counted = if at_s > counted_since_s {
+                    slice.units_granted_by_receiver
+                } else {
+                    0.0
+                };
+                ToldSlice {
+                    at_s,
+                    units: slice.units - counted,
+                }
+            }));
+        }
+    }
+
+    /// What an account had left of its burst at `at`, by what entries told.
+    ///
+    /// That is the level of a bucket which was full a window before. Entries that have not told are taken to
+    /// have spent their part of all that the quota allowed, so that an owner which was told nothing begins
+    /// with nothing.
+    pub(crate) fn level_at(
+        &self,
+        at: MonotonicTime,
+        window: Duration,
+        account: &AccountName,
+        quota: &AccountQuota,
+    ) -> f64 {
+        let (at_s, window_s) = (at.as_secs_f64(), window.as_secs_f64());
+        let slices = self.accounts.get(account).map_or(&[][..], Vec::as_slice);
+        let ages_s = slices.iter().map(|slice| (at_s - slice.at_s).max(0.0));
+        let reaches_s = self.entries.values().map(|known| at_s - known.since_s);
+        let mut looks_s: Vec<f64> = ages_s.chain(reaches_s).collect();
+        looks_s.extend([0.0, window_s]);
+        looks_s.retain(|age_s| (0.0..=window_s).contains(age_s));
+        let nodes = self.node_count() as f64;
+        let levels = looks_s.into_iter().map(|age_s| {
+            let spent: f64 = slices
+                .iter()
+                .filter(|slice| at_s - slice.at_s <= age_s)
+                .map(|slice| slice.units)
+                .sum();
+            let knowing = self.entries.values().filter(|known| {
+                let reach_s = at_s - known.since_s;
+                reach_s > age_s || reach_s >= window_s
+            });
+            let known_share = knowing.count() as f64 / nodes;
+            (quota.burst_units + quota.units_per_s * age_s) * known_share - spent
+        });
+        levels
+            .fold(f64::INFINITY, f64::min)
+            .clamp(0.0, quota.burst_units)
+    }
+
+    fn node_count(&self) -> usize {
+        let listed = self.listed.iter().map(|(nodes, _)| *nodes).max();
+        listed.unwrap_or(0).max(self.entries.len()).max(1)
+    }
+}
+
+/// Whether owners other than the receiver granted something within the time `since`.
+fn granted_by_others(report: &SpendingReport, since: Duration) -> bool {
+    let slices = report.accounts.iter().flat_map(|spending| &spending.slices);
+    let mut recent = slices.filter(|slice| slice.age < since);
+    recent.any(|slice| slice.units > slice.units_granted_by_receiver)
+}
--- /dev/null
+++ b/crates/dragonflystep_dispatch/src/spending.rs
@@ -0,0 +1,166 @@
+//! What accounts spent lately, as entry nodes saw it.
+//!
+//! An owner keeps what accounts spent in memory only. When another node becomes the owner, each entry tells
+//! it what went through that entry within the last window, so that the new owner goes on where the one
+//! before stopped, however many owners follow one another.
+
+use {
+    crate::ids::{AccountName, MonotonicTime, NodeName},
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
+};
+
+/// Parts of a window in which spending is added up; a report holds at most so many figures an account, and
+/// takes spending for newer than it was by at most one part.
+const SLICES: u32 = 16;
+
+/// What an account spent within a short time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpentSlice {
+    /// How long ago that time ended.
+    pub age: Duration,
+    /// Units spent.
+    pub units: f64,
+    /// Those of them that were granted by the owner that is told.
+    pub units_granted_by_receiver: f64,
+}
+
+/// What an account spent through one entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccountSpending {
+    /// The account.
+    pub account: AccountName,
+    /// Its spending, the latest first.
+    pub slices: Vec<SpentSlice>,
+}
+
+/// What all accounts spent through one entry within the last window.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SpendingReport {
+    /// The entry.
+    pub node: NodeName,
+    /// How far back the report reaches; an entry that has just started knows nothing of before.
+    pub covers: Duration,
+    /// Accounts that spent something.
+    pub accounts: Vec<AccountSpending>,
+}
+
+/// What accounts spent through this entry.
+///
+/// # Examples
+/// ```
+/// use dragonflystep_dispatch::SpendingLedger;
+/// use std::time::Duration;
+///
+/// let s = Duration::from_secs;
+/// let mut ledger = SpendingLedger::new(s(8));
+/// ledger.spent(s(10), &"mill".into(), &"node-1".into(), 300.0);
+/// let report = ledger.report(s(11), "node-7".into(), "node-2");
+/// assert_eq!(report.accounts[0].slices[0].units, 300.0);
+/// assert_eq!(report.accounts[0].slices[0].units_granted_by_receiver, 0.0);
+/// assert!(ledger.report(s(30), "node-7".into(), "node-2").accounts.is_empty());
+/// ```
+#[derive(Debug)]
+pub struct SpendingLedger {
+    window: Duration,
+    accounts: HashMap<AccountName, VecDeque<Slice>>,
+}
+
+#[derive(Debug)]
+struct Slice {
+    index: u64,
+    owner: NodeName,
+    units: f64,
+}
+
+impl SpendingLedger {
+    /// A ledger that knows nothing before the zero of its clock.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window: window.max(Duration::from_millis(u64::from(SLICES))),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Notes that `owner` granted `units` to an account; less than zero takes back what did not run.
+    pub fn spent(
+        &mut self,
+        now: MonotonicTime,
+        account: &AccountName,
+        owner: &NodeName,
+        units: f64,
+    ) {
+        let index = self.index_of(now);
+        let slices = self.accounts.entry(account.clone()).or_default();
+        while slices
+            .front()
+            .is_some_and(|oldest| oldest.index + u64::from(SLICES) < index)
+        {
+            slices.pop_front();
+        }
+        let latest = slices
+            .iter_mut()
+            .rev()
+            .take_while(|slice| slice.index == index);
+        for slice in latest {
+            if slice.owner == *owner {
+                slice.units += units;
+                return;
+            }
+        }
+        slices.push_back(Slice {
+            index,
+            owner: owner.clone(),
+            units,
+        });
+    }
+
+    /// What the entry `node` tells the owner `receiver`.
+    pub fn report(&mut self, now: MonotonicTime, node: NodeName, receiver: &str) -> SpendingReport {
+        let oldest = self.index_of(now).saturating_sub(u64::from(SLICES));
+        for slices in self.accounts.values_mut() {
+            slices.retain(|slice| slice.index >= oldest);
+        }
+        self.accounts.retain(|_, slices| !slices.is_empty());
+        let accounts = self
+            .accounts
+            .iter()
+            .map(|(account, slices)| AccountSpending {
+                account: account.clone(),
+                slices: slices
+                    .iter()
+                    .rev()
+                    .map(|slice| self.told(now, slice, receiver))
+                    .collect(),
+            });
+        SpendingReport {
+            node,
+            covers: now.min(self.window),
+            accounts: accounts.collect(),
+        }
+    }
+
+    fn told(&self, now: MonotonicTime, slice: &Slice, receiver: &str) -> SpentSlice {
+        let ended_at = self.slice_length().mul_f64((slice.index + 1) as f64);
+        let by_receiver = if &*slice.owner == receiver {
+            slice.units
+        } else {
+            0.0
+        };
+        SpentSlice {
+            age: now.saturating_sub(ended_at),
+            units: slice.units,
+            units_granted_by_receiver: by_receiver,
+        }
+    }
+
+    fn index_of(&self, now: MonotonicTime) -> u64 {
+        (now.as_secs_f64() / self.slice_length().as_secs_f64()) as u64
+    }
+
+    fn slice_length(&self) -> Duration {
+        self.window / SLICES
+    }
+}
--- a/crates/dragonflystep_dispatch/tests/quotas.rs
+++ b/crates/dragonflystep_dispatch/tests/quotas.rs
@@ -5,7 +5,7 @@
 use {
     dragonflystep_dispatch::{
         Account, AccountQuota, Ask, Catalogue, Dispatcher, Event, QuotaUnit, RefusalReason, RunId,
-        RunOutcome, Verdict,
+        RunOutcome, SpendingLedger, Verdict,
     },
     std::{sync::Arc, time::Duration},
     support::{
@@ -151,9 +151,58 @@
     assert!(granted <= tolerated(rate, burst), "{granted}");
 }
 
+/// Length of the window in which quotas are judged.
+const WINDOW: Duration = Duration::from_secs(8);
+
+/// Tells an owner of all that went through an entry which has been running for long.
+fn tell(owner: &mut Dispatcher, at: Duration, ledger: &mut SpendingLedger) {
+    let report = ledger.report(at, "entry".into(), "another owner");
+    owner.reduce(at, Event::SpendingTold(report));
+}
+
 #[test]
 fn an_account_within_its_quota_is_never_refused() {
     let mut owner = with_quota(100_000.0, 100_000.0);
+    tell(&mut owner, AT, &mut SpendingLedger::new(WINDOW));
     let granted = units_granted(&mut owner, AT, Duration::from_secs(8), 950);
     assert_eq!(granted, 950.0 * 800.0);
 }
+
+#[test]
+fn eight_owners_in_a_row_that_were_told_nothing_stay_within_the_quota() {
+    let (rate, burst) = (370_000.0, 370_000.0);
+    let mut granted = 0.0;
+    for index in 0..8 {
+        let mut owner = with_quota(rate, burst);
+        let from = AT + Duration::from_secs(index);
+        granted += units_granted(&mut owner, from, Duration::from_secs(1), 22_000);
+    }
+    let most = (rate * 8.0 + burst) * 1.1 + 140_000.0;
+    assert!(granted <= most, "{granted} of {most}");
+}
+
+#[test]
+fn a_new_owner_gives_what_the_one_before_left() {
+    for (spent_before, asked, is_granted) in [
+        (0.0, 90_000, true),
+        (50_000.0, 40_000, true),
+        (100_000.0, 20_000, false),
+        (400_000.0, 2_000, false),
+    ] {
+        let mut owner = with_quota(100_000.0, 100_000.0);
+        let mut ledger = SpendingLedger::new(WINDOW);
+        ledger.spent(AT, &"mill".into(), &"another owner".into(), spent_before);
+        tell(&mut owner, AT, &mut ledger);
+        let asked = Ask {
+            account: Some("mill".into()),
+            quota_units: asked,
+            ..plain_ask(1, 0)
+        };
+        let verdict = ask(&mut owner, AT, asked);
+        assert_eq!(
+            matches!(verdict, Some(Verdict::Granted(_))),
+            is_granted,
+            "{spent_before}: {verdict:?}"
+        );
+    }
+}
--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -7,12 +7,14 @@
     },
     dragonflystep_dispatch::NodeName,
     dragonflystep_peer::{Digest, PeerLink},
+    futures::{StreamExt, stream::FuturesUnordered},
     std::rc::Rc,
     tokio::{task::spawn_local, time::sleep},
 };
 
 /// Exchanges views with this node's neighbours for as long as the node runs.
 pub(crate) async fn exchange_views(node: Rc<Node>) {
+    look_around(&node).await;
     loop {
         let interval = if node.members.listed_count() > SMALL_SYSTEM_NODES {
             EXCHANGE_INTERVAL * 2
@@ -28,6 +30,23 @@
     }
 }
 
+/// Tries the neighbours as soon as the first list of nodes is known, so that the node soon knows what it sees.
+async fn look_around(node: &Rc<Node>) {
+    tokio::select! {
+        () = node.members.first_listed() => {}
+        () = sleep(EXCHANGE_INTERVAL) => return,
+    }
+    let exchanges = partners(node)
+        .into_iter()
+        .map(|partner| exchange_with(node.clone(), partner));
+    let mut exchanges: FuturesUnordered<_> = exchanges.collect();
+    while exchanges.next().await.is_some() {
+        if node.members.has_looked_around() {
+            node.update_reach();
+        }
+    }
+}
+
 /// Tells all neighbours at once, for example that this node is stopping.
 pub(crate) fn tell_neighbours(node: &Rc<Node>) {
     for neighbour in partners(node) {
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -20,6 +20,7 @@
         rc::Rc,
         sync::Arc,
     },
+    tokio::sync::Notify,
 };
 
 /// Another node.
@@ -27,6 +28,8 @@
     record: MemberRecord,
     link: Rc<PeerLink>,
     has_failed: bool,
+    /// Whether it answered or failed since this node started.
+    is_tried: bool,
     /// Whether its machine said that no process listens there; such a node runs nothing.
     is_down: bool,
     is_leaving: bool,
@@ -50,6 +53,7 @@
     others: RefCell<BTreeMap<NodeName, Other>>,
     /// What other nodes told of nodes that are unavailable, with the time.
     told: RefCell<HashMap<NodeName, MonotonicTime>>,
+    list_known: Notify,
 }
 
 impl Members {
@@ -59,6 +63,14 @@
             list: RefCell::default(),
             others: RefCell::default(),
             told: RefCell::default(),
+            list_known: Notify::new(),
+        }
+    }
+
+    /// Waits until a list of nodes is known.
+    pub(crate) async fn first_listed(&self) {
+        if self.version() == 0 {
+            self.list_known.notified().await;
         }
     }
 
@@ -102,6 +114,7 @@
         if is_news {
             let records = self.list.borrow().entries().cloned().collect();
             self.set_records(records);
+            self.list_known.notify_waiters();
         }
         is_news
     }
@@ -144,6 +157,24 @@
         mutual.count() + 1
     }
 
+    /// Whether this node has tried enough others to know what it sees.
+    ///
+    /// A node that has just started knows a list of nodes and has heard none of them. Counting them as seen made
+    /// it an owner with the whole quota of each account within 2 ms of its start, beside the owner that the others
+    /// still asked.
+    pub(crate) fn has_looked_around(&self) -> bool {
+        if self.version() == 0 {
+            return false;
+        }
+        let partners = self.direct_partners();
+        let others = self.others.borrow();
+        let tried = partners
+            .iter()
+            .filter_map(|node| others.get(node))
+            .filter(|other| other.is_tried);
+        tried.count() * 2 >= partners.len()
+    }
+
     pub(crate) fn link(&self, node: &str) -> Option<Rc<PeerLink>> {
         let others = self.others.borrow();
         others.get(node).map(|other| other.link.clone())
@@ -209,6 +240,7 @@
                 log::info!(peer = node; "node is reachable again");
             }
             other.has_failed = false;
+            other.is_tried = true;
             other.is_down = false;
             other.is_leaving = is_leaving;
             other.told_unavailable_until = MonotonicTime::ZERO;
@@ -222,6 +254,7 @@
                 log::warn!(peer = node, reason:% = error; "node does not answer");
             }
             other.has_failed = true;
+            other.is_tried = true;
             other.is_down = error.is_refused();
             other.link.reset();
         }
@@ -334,6 +367,7 @@
             link: Rc::new(PeerLink::new(record.peers.clone())),
             record,
             has_failed: false,
+            is_tried: false,
             is_down: false,
             is_leaving: false,
             misses_us: false,
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -96,7 +96,7 @@
         Self {
             owner: Rc::new(Owner::new(settings.shared_limits)),
             members: Members::new(own),
-            entry_runs: EntryRuns::default(),
+            entry_runs: EntryRuns::new(settings.shared_limits.quota.window),
             connections: UpstreamConnections::default(),
             metrics: Metrics::default(),
             views: Views::default(),
@@ -249,6 +249,7 @@
         if is_news {
             let (version, nodes) = (self.members.version(), self.members.listed_count());
             log::info!(source, version, before, nodes; "list of nodes in force");
+            self.owner.apply(Event::NodesListed(nodes));
             self.update_reach();
         }
     }
@@ -281,10 +282,13 @@
 
     /// Tells the owner's side how many of the nodes are seen.
     pub(crate) fn update_reach(&self) {
-        self.owner.set_reach(Reach {
-            visible: self.members.mutual_count(self.owner.now()),
-            known: self.members.known_count(),
-        });
+        let known = self.members.known_count();
+        let visible = if self.members.has_looked_around() {
+            self.members.mutual_count(self.owner.now())
+        } else {
+            1
+        };
+        self.owner.set_reach(Reach { visible, known });
     }
 
     /// Figures of the moment for the metrics page.
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -3,7 +3,7 @@
 use {
     crate::{exchange::exchange_with, node::Node, owner::cancelled},
     dragonflystep_dispatch::{
-        Ask, Ended, Event, RunId, RunningRun, ServiceName, UpstreamLoad, Verdict,
+        Ask, Ended, Event, RunId, RunningRun, ServiceName, SpendingReport, UpstreamLoad, Verdict,
     },
     dragonflystep_peer::{
         Digest, PeerHandler, SilenceLimits, VerdictFuture, prepare_stream, serve_peer,
@@ -71,6 +71,10 @@
         }
     }
 
+    fn spent(&self, report: SpendingReport) {
+        self.node.owner.apply(Event::SpendingTold(report));
+    }
+
     fn load_observed(&self, load: UpstreamLoad) {
         self.node.owner.apply(Event::LoadObserved(load));
     }
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -8,7 +8,7 @@
     },
     dragonflystep_dispatch::{
         Ask, Ended, Event, Grant, MonotonicTime, NodeName, RunId, RunOutcome, RunningRun,
-        UpstreamLoad, Verdict,
+        SpendingLedger, SpendingReport, UpstreamLoad, Verdict,
     },
     dragonflystep_peer::{PeerError, PeerLink},
     std::{
@@ -29,13 +29,49 @@
     owner: (NodeName, u64),
 }
 
-/// Runs of this entry, to tell a new owner of them.
-#[derive(Default)]
+/// Runs of this entry and what accounts spent through it, to tell a new owner of them.
 pub(crate) struct EntryRuns {
     runs: RefCell<HashMap<RunId, EntryRun>>,
+    spending: RefCell<SpendingLedger>,
+    /// The owner that was told of the spending last, with the connection.
+    spending_told_to: RefCell<Option<(NodeName, u64)>>,
 }
 
 impl EntryRuns {
+    pub(crate) fn new(quota_window: Duration) -> Self {
+        Self {
+            runs: RefCell::default(),
+            spending: RefCell::new(SpendingLedger::new(quota_window)),
+            spending_told_to: RefCell::default(),
+        }
+    }
+
+    /// What accounts spent through this entry, if `owner` was not told yet.
+    fn spending_for(
+        &self,
+        now: MonotonicTime,
+        own: &NodeName,
+        owner: &(NodeName, u64),
+    ) -> Option<SpendingReport> {
+        let mut told_to = self.spending_told_to.borrow_mut();
+        if told_to.as_ref() == Some(owner) {
+            return None;
+        }
+        *told_to = Some(owner.clone());
+        let mut spending = self.spending.borrow_mut();
+        Some(spending.report(now, own.clone(), &owner.0))
+    }
+
+    /// Notes what the account of a run spent, or, with a factor below zero, takes it back.
+    fn note_spent(&self, now: MonotonicTime, run: &EntryRun, factor: f64) {
+        let Some(account) = &run.ask.account else {
+            return;
+        };
+        let units = factor * f64::from(run.ask.quota_units);
+        let mut spending = self.spending.borrow_mut();
+        spending.spent(now, account, &run.owner.0, units);
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.runs.borrow().len()
     }
@@ -125,9 +161,13 @@
         self.is_ended = true;
         let metrics = &self.node.metrics;
         metrics.count("upstream_outcomes_total", outcome.name());
-        let Some(run) = self.node.entry_runs.runs.borrow_mut().remove(&self.run) else {
+        let runs = &self.node.entry_runs;
+        let Some(run) = runs.runs.borrow_mut().remove(&self.run) else {
             return;
         };
+        if !outcome.has_run() {
+            runs.note_spent(self.node.owner.now(), &run, -1.0);
+        }
         let ended = Ended {
             run: self.run,
             service: self.service.clone(),
@@ -180,6 +220,12 @@
     for run in node.entry_runs.move_to(now, &ask.service, &owner) {
         node.owner.adopt(run);
     }
+    if let Some(report) = node
+        .entry_runs
+        .spending_for(now, &node.settings.node, &owner)
+    {
+        node.owner.apply(Event::SpendingTold(report));
+    }
     let verdict = node.owner.clone().ask(ask.clone()).await;
     place(node, ask, owner, verdict)
 }
@@ -208,7 +254,9 @@
         owner,
         ask,
     };
-    node.entry_runs.runs.borrow_mut().insert(place.run, run);
+    let runs = &node.entry_runs;
+    runs.note_spent(node.owner.now(), &run, 1.0);
+    runs.runs.borrow_mut().insert(place.run, run);
     Ok(place)
 }
 
@@ -220,19 +268,7 @@
     ask: &Ask,
 ) -> Result<Verdict, PeerError> {
     link.open().await?;
-    let now = node.owner.now();
-    let counted_by = (owner.clone(), link.generation());
-    let moved = node.entry_runs.move_to(now, &ask.service, &counted_by);
-    if !moved.is_empty() {
-        let link = link.clone();
-        // Messages of one connection arrive in order, so that the owner counts these runs first.
-        spawn_local(async move {
-            if let Err(error) = link.adopt(&moved).await {
-                log::debug!(error:%; "a new owner was not told of runs");
-            }
-        });
-        tokio::task::yield_now().await;
-    }
+    tell_new_owner(node, owner, link, ask).await;
     let mut guard = WithdrawGuard {
         node,
         owner,
@@ -260,6 +296,38 @@
     }
 }
 
+/// Tells an owner of this entry's runs and of what accounts spent through it, unless it was told before.
+///
+/// Messages of one connection arrive in order, so that the owner counts these before the next request.
+async fn tell_new_owner(node: &Rc<Node>, owner: &NodeName, link: &Rc<PeerLink>, ask: &Ask) {
+    let now = node.owner.now();
+    let counted_by = (owner.clone(), link.generation());
+    let moved = node.entry_runs.move_to(now, &ask.service, &counted_by);
+    let spending = node
+        .entry_runs
+        .spending_for(now, &node.settings.node, &counted_by);
+    if moved.is_empty() && spending.is_none() {
+        return;
+    }
+    if let Some(report) = spending {
+        let link = link.clone();
+        spawn_local(async move {
+            if let Err(error) = link.spent(&report).await {
+                log::debug!(error:%; "a new owner was not told of what accounts spent");
+            }
+        });
+    }
+    if !moved.is_empty() {
+        let link = link.clone();
+        spawn_local(async move {
+            if let Err(error) = link.adopt(&moved).await {
+                log::debug!(error:%; "a new owner was not told of runs");
+            }
+        });
+    }
+    tokio::task::yield_now().await;
+}
+
 /// Withdraws a request from another owner when its asker is gone.
 struct WithdrawGuard<'a> {
     node: &'a Rc<Node>,
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -53,6 +53,14 @@
 # What an upstream said of its load.
 struct UpstreamLoad { service @0 :Text; upstream @1 :Text; running @2 :UInt32; waiting @3 :UInt32; }
 
+# What an account spent within a short time that ended `ageUs` ago.
+struct SpentSlice { ageUs @0 :UInt64; units @1 :Float64; unitsGrantedByReceiver @2 :Float64; }
+
+struct AccountSpending { account @0 :Text; slices @1 :List(SpentSlice); }
+
+# What accounts spent through an entry within the last window.
+struct SpendingReport { node @0 :Text; coversUs @1 :UInt64; accounts @2 :List(AccountSpending); }
+
 # What a node knows, with versions; documents are sent only to a peer whose version is older.
 struct Digest {
   node @0 :Text;
@@ -73,4 +81,5 @@
   adopt @2 (runs :List(RunningRun)) -> ();
   exchange @3 (digest :Digest) -> (digest :Digest);
   loadObserved @4 (load :UpstreamLoad) -> ();
+  spent @5 (report :SpendingReport) -> ();
 }
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -3,12 +3,15 @@
 use {
     crate::{
         Digest, PeerError,
-        peer_capnp::{self, ask, digest, ended, running_run, upstream_load, verdict},
+        peer_capnp::{
+            self, account_spending, ask, digest, ended, running_run, spending_report,
+            upstream_load, verdict,
+        },
         to_us,
     },
     dragonflystep_dispatch::{
-        Ask, Ended, Grant, PromptPart, Refusal, RefusalReason, RunOutcome, RunningRun,
-        UpstreamLoad, Verdict, WorkSize,
+        AccountSpending, Ask, Ended, Grant, PromptPart, Refusal, RefusalReason, RunOutcome,
+        RunningRun, SpendingReport, SpentSlice, UpstreamLoad, Verdict, WorkSize,
     },
     std::{sync::Arc, time::Duration},
 };
@@ -207,6 +210,51 @@
     })
 }
 
+/// Writes what accounts spent through an entry.
+pub(crate) fn encode_spending(report: &SpendingReport, mut out: spending_report::Builder<'_>) {
+    out.set_node(&*report.node);
+    out.set_covers_us(to_us(report.covers));
+    let mut accounts = out.init_accounts(report.accounts.len() as u32);
+    for (index, spending) in report.accounts.iter().enumerate() {
+        encode_account(spending, accounts.reborrow().get(index as u32));
+    }
+}
+
+fn encode_account(spending: &AccountSpending, mut out: account_spending::Builder<'_>) {
+    out.set_account(&*spending.account);
+    let mut slices = out.init_slices(spending.slices.len() as u32);
+    for (index, slice) in spending.slices.iter().enumerate() {
+        let mut slot = slices.reborrow().get(index as u32);
+        slot.set_age_us(to_us(slice.age));
+        slot.set_units(slice.units);
+        slot.set_units_granted_by_receiver(slice.units_granted_by_receiver);
+    }
+}
+
+/// Reads what accounts spent through an entry.
+pub(crate) fn decode_spending(
+    input: spending_report::Reader<'_>,
+) -> Result<SpendingReport, PeerError> {
+    let accounts = input.get_accounts()?.iter().map(decode_account);
+    Ok(SpendingReport {
+        node: input.get_node()?.to_str()?.into(),
+        covers: Duration::from_micros(input.get_covers_us()),
+        accounts: accounts.collect::<Result<_, _>>()?,
+    })
+}
+
+fn decode_account(input: account_spending::Reader<'_>) -> Result<AccountSpending, PeerError> {
+    let slices = input.get_slices()?.iter().map(|slice| SpentSlice {
+        age: Duration::from_micros(slice.get_age_us()),
+        units: slice.get_units(),
+        units_granted_by_receiver: slice.get_units_granted_by_receiver(),
+    });
+    Ok(AccountSpending {
+        account: input.get_account()?.to_str()?.into(),
+        slices: slices.collect(),
+    })
+}
+
 pub(crate) fn encode_digest(digest: &Digest, mut out: digest::Builder<'_>) {
     out.set_node(&*digest.node);
     out.set_catalogue_version(digest.catalogue_version);
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -5,7 +5,7 @@
         Digest, PeerError, SilenceLimits,
         codec::{
             decode_digest, decode_verdict, encode_ask, encode_digest, encode_ended, encode_load,
-            encode_running,
+            encode_running, encode_spending,
         },
         peer_capnp::peer,
         prepare_stream,
@@ -13,7 +13,9 @@
         since,
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
-    dragonflystep_dispatch::{Ask, Ended, MonotonicTime, RunningRun, UpstreamLoad, Verdict},
+    dragonflystep_dispatch::{
+        Ask, Ended, MonotonicTime, RunningRun, SpendingReport, UpstreamLoad, Verdict,
+    },
     std::{
         cell::{Cell, RefCell},
         io,
@@ -133,6 +135,18 @@
         Ok(())
     }
 
+    /// Tells what accounts spent through this node.
+    ///
+    /// # Errors
+    /// When the node can't be reached or the connection breaks.
+    pub async fn spent(&self, report: &SpendingReport) -> Result<(), PeerError> {
+        let client = self.client().await?;
+        let mut request = client.spent_request();
+        encode_spending(report, request.get().init_report());
+        self.heard(request.send().promise.await)?;
+        Ok(())
+    }
+
     /// Tells what an upstream said of its load.
     ///
     /// # Errors
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -4,14 +4,14 @@
     crate::{
         Digest, PeerError,
         codec::{
-            decode_ask, decode_digest, decode_ended, decode_load, decode_running, encode_digest,
-            encode_verdict,
+            decode_ask, decode_digest, decode_ended, decode_load, decode_running, decode_spending,
+            encode_digest, encode_verdict,
         },
         peer_capnp::peer,
     },
     capnp::capability::Promise,
     capnp_rpc::{RpcSystem, new_client, pry, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
-    dragonflystep_dispatch::{Ask, Ended, RunningRun, UpstreamLoad, Verdict},
+    dragonflystep_dispatch::{Ask, Ended, RunningRun, SpendingReport, UpstreamLoad, Verdict},
     futures::io::{BufReader, BufWriter},
     std::{future::Future, pin::Pin, rc::Rc},
     tokio::net::TcpStream,
@@ -32,6 +32,9 @@
     /// Tells of runs that another owner granted.
     fn adopt(&self, runs: Vec<RunningRun>);
 
+    /// Tells what accounts spent through the calling node, before it asks for a place.
+    fn spent(&self, report: SpendingReport);
+
     /// Tells what an upstream said of its load.
     fn load_observed(&self, load: UpstreamLoad);
 
@@ -111,6 +114,17 @@
         Promise::ok(())
     }
 
+    fn spent(
+        &mut self,
+        params: peer::SpentParams,
+        _: peer::SpentResults,
+    ) -> Promise<(), capnp::Error> {
+        let message = pry!(pry!(params.get()).get_report());
+        let report = pry!(decode_spending(message).map_err(|error| to_capnp(&error)));
+        self.handler.spent(report);
+        Promise::ok(())
+    }
+
     fn load_observed(
         &mut self,
         params: peer::LoadObservedParams,
