Let accounts begin with their whole burst at the first start of the system

A node that learned of a second one counted itself alone again until it had called it.

Change: the settings say whether the system starts for the first time; then entries know that nothing was spent before. An owner that was told nothing begins an account with a twentieth of the tolerance; four of them in a window are kept free in it. Whether a node has looked around is settled once.

--- a/crates/dragonflystep_dispatch/src/quota.rs
+++ b/crates/dragonflystep_dispatch/src/quota.rs
@@ -7,7 +7,10 @@
     crate::{
         catalogue::AccountQuota,
         ids::{AccountName, MonotonicTime},
-        limits::{MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, QUOTA_TOLERANCE_USE},
+        limits::{
+            MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, QUOTA_TOLERANCE_USE, UNTOLD_START_SHARE,
+            UNTOLD_STARTS_COVERED,
+        },
         spending::SpendingReport,
     },
     std::{collections::HashMap, time::Duration},
@@ -42,7 +45,7 @@
     began_at: MonotonicTime,
     /// What it began with, by what entries had told up to `told_version`.
     began_with: f64,
-    told_version: u64,
+    told_version: Option<u64>,
 }
 
 impl Quotas {
@@ -95,7 +98,8 @@
             .buckets
             .entry(account.clone())
             .or_insert_with(|| Bucket::new(now));
-        bucket.take_in(told, window, account, quota, share);
+        let credit = untold_credit(&self.rules, quota);
+        bucket.take_in(told, window, (account, quota), credit, share);
         bucket.largest_units = bucket.largest_units.max(units);
         let (rate, burst) = bucket_of(&self.rules, quota, share, bucket.largest_units);
         let passed = now.saturating_sub(bucket.filled_at).as_secs_f64();
@@ -129,7 +133,7 @@
             filled_at: now,
             began_at: now,
             began_with: 0.0,
-            told_version: 0,
+            told_version: None,
         }
     }
 
@@ -138,15 +142,17 @@
         &mut self,
         told: &ToldSpending,
         window: Duration,
-        account: &AccountName,
-        quota: &AccountQuota,
+        (account, quota): (&AccountName, &AccountQuota),
+        credit: f64,
         share: f64,
     ) {
-        if self.told_version == told.version() {
+        if self.told_version == Some(told.version()) {
             return;
         }
-        self.told_version = told.version();
-        let level = told.level_at(self.began_at, window, account, quota) * share.min(1.0);
+        self.told_version = Some(told.version());
+        let level = told.level_at(self.began_at, window, account, quota)
+            + credit * told.unknown_share(self.began_at, window);
+        let level = level.min(quota.burst_units) * share.min(1.0);
         self.units += level - self.began_with;
         self.began_with = level;
     }
@@ -172,12 +178,27 @@
     (rate, burst)
 }
 
+/// Units that the quota allows within a window.
+fn plain_use(rules: &QuotaRules, quota: &AccountQuota) -> f64 {
+    quota.units_per_s * rules.window.as_secs_f64().max(1.0) + quota.burst_units
+}
+
+/// Units beyond it that are tolerated.
+fn tolerance(rules: &QuotaRules, quota: &AccountQuota) -> f64 {
+    plain_use(rules, quota) * rules.tolerated_share + rules.tolerated_units
+}
+
+/// Units with which an account begins at an owner that was told nothing.
+fn untold_credit(rules: &QuotaRules, quota: &AccountQuota) -> f64 {
+    (tolerance(rules, quota) * UNTOLD_START_SHARE).min(quota.burst_units)
+}
+
 /// Units beyond the plain quota that an owner may give out within a window.
 fn usable_tolerance(rules: &QuotaRules, quota: &AccountQuota, largest_units: f64) -> f64 {
-    let plain = quota.units_per_s * rules.window.as_secs_f64().max(1.0) + quota.burst_units;
-    let tolerance = plain * rules.tolerated_share + rules.tolerated_units;
-    let for_minorities = plain * MINORITIES_QUOTA_SHARE;
+    let tolerance = tolerance(rules, quota);
+    let for_minorities = plain_use(rules, quota) * MINORITIES_QUOTA_SHARE;
     let for_largest = (largest_units - quota.burst_units).max(0.0);
-    let left = tolerance - for_minorities - for_largest;
+    let for_starts = UNTOLD_STARTS_COVERED * untold_credit(rules, quota);
+    let left = tolerance - for_minorities - for_starts - for_largest;
     left.max(tolerance * QUOTA_TOLERANCE_USE)
 }
--- a/crates/dragonflystep_dispatch/src/quota/handover.rs
+++ b/crates/dragonflystep_dispatch/src/quota/handover.rs
@@ -161,6 +161,15 @@
             .clamp(0.0, quota.burst_units)
     }
 
+    /// Share of the nodes of which the window before `at` is not known whole.
+    pub(crate) fn unknown_share(&self, at: MonotonicTime, window: Duration) -> f64 {
+        let known = self
+            .entries
+            .values()
+            .filter(|known| at.as_secs_f64() - known.since_s >= window.as_secs_f64());
+        1.0 - known.count() as f64 / self.node_count() as f64
+    }
+
     fn node_count(&self) -> usize {
         let listed = self.listed.iter().map(|(nodes, _)| *nodes).max();
         listed.unwrap_or(0).max(self.entries.len()).max(1)
--- a/crates/dragonflystep_dispatch/src/spending.rs
+++ b/crates/dragonflystep_dispatch/src/spending.rs
@@ -55,7 +55,7 @@
 /// use std::time::Duration;
 ///
 /// let s = Duration::from_secs;
-/// let mut ledger = SpendingLedger::new(s(8));
+/// let mut ledger = SpendingLedger::new(s(8), false);
 /// ledger.spent(s(10), &"mill".into(), &"node-1".into(), 300.0);
 /// let report = ledger.report(s(11), "node-7".into(), "node-2");
 /// assert_eq!(report.accounts[0].slices[0].units, 300.0);
@@ -65,6 +65,8 @@
 #[derive(Debug)]
 pub struct SpendingLedger {
     window: Duration,
+    /// Whether nothing can have been spent before the zero of its clock.
+    is_first_start: bool,
     accounts: HashMap<AccountName, VecDeque<Slice>>,
 }
 
@@ -76,9 +78,11 @@
 }
 
 impl SpendingLedger {
-    /// A ledger that knows nothing before the zero of its clock.
-    pub fn new(window: Duration) -> Self {
+    /// A ledger that knows nothing before the zero of its clock, unless the whole system started then for the
+    /// first time.
+    pub fn new(window: Duration, is_first_start: bool) -> Self {
         Self {
+            is_first_start,
             window: window.max(Duration::from_millis(u64::from(SLICES))),
             accounts: HashMap::new(),
         }
@@ -137,7 +141,11 @@
             });
         SpendingReport {
             node,
-            covers: now.min(self.window),
+            covers: if self.is_first_start {
+                self.window
+            } else {
+                now.min(self.window)
+            },
             accounts: accounts.collect(),
         }
     }
--- a/crates/dragonflystep_dispatch/tests/quota_owners.rs
+++ b/crates/dragonflystep_dispatch/tests/quota_owners.rs
@@ -72,7 +72,7 @@
             name: format!("node-{index}").into(),
             owner: new_owner(quota),
             quota,
-            ledger: SpendingLedger::new(WINDOW),
+            ledger: SpendingLedger::new(WINDOW, false),
             started: Duration::ZERO,
             asked: None,
             starts: 0,
@@ -84,7 +84,7 @@
 
     fn restart(&mut self, at: Duration) {
         self.owner = new_owner(self.quota);
-        self.ledger = SpendingLedger::new(WINDOW);
+        self.ledger = SpendingLedger::new(WINDOW, false);
         self.started = at;
         self.asked = None;
         self.starts += 1;
--- a/crates/dragonflystep_dispatch/tests/quotas.rs
+++ b/crates/dragonflystep_dispatch/tests/quotas.rs
@@ -163,7 +163,7 @@
 #[test]
 fn an_account_within_its_quota_is_never_refused() {
     let mut owner = with_quota(100_000.0, 100_000.0);
-    tell(&mut owner, AT, &mut SpendingLedger::new(WINDOW));
+    tell(&mut owner, AT, &mut SpendingLedger::new(WINDOW, false));
     let granted = units_granted(&mut owner, AT, Duration::from_secs(8), 950);
     assert_eq!(granted, 950.0 * 800.0);
 }
@@ -181,6 +181,20 @@
     assert!(granted <= most, "{granted} of {most}");
 }
 
+#[test]
+fn four_owners_in_a_row_that_were_told_nothing_keep_within_a_small_quota() {
+    for (rate, slack) in [(4_000.0, 190_000.0), (36_000.0, 190_000.0)] {
+        let mut granted = 0.0;
+        for index in 0..4 {
+            let mut owner = with_quota(rate, rate);
+            let from = AT + Duration::from_secs(2 * index);
+            granted += units_granted(&mut owner, from, Duration::from_secs(2), 500);
+        }
+        let most = rate * 9.0 * 1.1 + slack;
+        assert!(granted <= most, "{granted} of {most}");
+    }
+}
+
 #[test]
 fn a_new_owner_gives_what_the_one_before_left() {
     for (spent_before, asked, is_granted) in [
@@ -190,7 +204,7 @@
         (400_000.0, 2_000, false),
     ] {
         let mut owner = with_quota(100_000.0, 100_000.0);
-        let mut ledger = SpendingLedger::new(WINDOW);
+        let mut ledger = SpendingLedger::new(WINDOW, false);
         ledger.spent(AT, &"mill".into(), &"another owner".into(), spent_before);
         tell(&mut owner, AT, &mut ledger);
         let asked = Ask {
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -15,7 +15,7 @@
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
     dragonflystep_peer::{PeerError, PeerLink},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
         rc::Rc,
         sync::Arc,
@@ -54,6 +54,7 @@
     /// What other nodes told of nodes that are unavailable, with the time.
     told: RefCell<HashMap<NodeName, MonotonicTime>>,
     list_known: Notify,
+    has_looked_around: Cell<bool>,
 }
 
 impl Members {
@@ -64,6 +65,7 @@
             others: RefCell::default(),
             told: RefCell::default(),
             list_known: Notify::new(),
+            has_looked_around: Cell::new(false),
         }
     }
 
@@ -163,8 +165,8 @@
     /// it an owner with the whole quota of each account within 2 ms of its start, beside the owner that the others
     /// still asked.
     pub(crate) fn has_looked_around(&self) -> bool {
-        if self.version() == 0 {
-            return false;
+        if self.has_looked_around.get() || self.version() == 0 {
+            return self.has_looked_around.get();
         }
         let partners = self.direct_partners();
         let others = self.others.borrow();
@@ -172,7 +174,9 @@
             .iter()
             .filter_map(|node| others.get(node))
             .filter(|other| other.is_tried);
-        tried.count() * 2 >= partners.len()
+        let is_enough = tried.count() * 2 >= partners.len();
+        self.has_looked_around.set(is_enough);
+        is_enough
     }
 
     pub(crate) fn link(&self, node: &str) -> Option<Rc<PeerLink>> {
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -96,7 +96,10 @@
         Self {
             owner: Rc::new(Owner::new(settings.shared_limits)),
             members: Members::new(own),
-            entry_runs: EntryRuns::new(settings.shared_limits.quota.window),
+            entry_runs: EntryRuns::new(
+                settings.shared_limits.quota.window,
+                settings.is_first_start,
+            ),
             connections: UpstreamConnections::default(),
             metrics: Metrics::default(),
             views: Views::default(),
@@ -343,7 +346,7 @@
     spawn_local(exchange_views(node.clone()));
     spawn_local(keep_house(node.clone()));
     spawn_local(platform.clone().follow(node.clone()));
-    log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation; "node started");
+    log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation, is_first_start = node.settings.is_first_start; "node started");
     told_to_stop.await?;
     stop(&node, platform).await;
     log::info!(after_s = started.elapsed().as_secs(); "node stopped");
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -38,10 +38,10 @@
 }
 
 impl EntryRuns {
-    pub(crate) fn new(quota_window: Duration) -> Self {
+    pub(crate) fn new(quota_window: Duration, is_first_start: bool) -> Self {
         Self {
             runs: RefCell::default(),
-            spending: RefCell::new(SpendingLedger::new(quota_window)),
+            spending: RefCell::new(SpendingLedger::new(quota_window, is_first_start)),
             spending_told_to: RefCell::default(),
         }
     }
--- a/crates/dragonflystep_edge/src/settings.rs
+++ b/crates/dragonflystep_edge/src/settings.rs
@@ -27,6 +27,8 @@
     pub metrics: Option<SocketAddr>,
     /// Share of a core; a node with more owns more.
     pub cpu_share: f64,
+    /// Whether the whole system starts for the first time, so that no account can have spent anything yet.
+    pub is_first_start: bool,
     /// Limits that hold for all nodes together.
     pub shared_limits: SharedLimits,
     /// Time between the signal to stop and the end by force.
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -47,6 +47,9 @@
     address_lifetime_limit_s: f64,
     retries: Retries,
     quotas: Quotas,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    first_start: bool,
     /// Read by the platform's adapter.
     #[serde(default)]
     platform: serde_json::Value,
@@ -117,6 +120,7 @@
         peers_advertised: file.listen.peers_advertised.unwrap_or(file.listen.peers),
         metrics: file.listen.metrics,
         cpu_share: file.cpu_share,
+        is_first_start: file.first_start,
         shared_limits: SharedLimits {
             retry_ratio: file.retries.ratio,
             retry_slack: file.retries.slack,
