--- a/crates/dragonflystep_dispatch/tests/overload.rs
+++ b/crates/dragonflystep_dispatch/tests/overload.rs
@@ -5,7 +5,11 @@
 
 mod support;
 
-use support::{FAST_READER, Load, Replay, SLOW_READER, booking_kinds, replay, works_kinds};
+use support::{
+    Load, Replay, booking_kinds,
+    engine::{FAST_READER, SLOW_READER},
+    replay, works_kinds,
+};
 
 fn burst(at_s: f64) -> f64 {
     match at_s {
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -3,11 +3,9 @@
 
 #![allow(dead_code, reason = "each test uses a part of the support")]
 
-mod engine;
+pub mod engine;
 pub mod verdicts;
 
-pub use self::engine::{FAST_READER, SLOW_READER};
-
 use {
     self::engine::{EngineModel, EngineRun, EngineSpeed, TOKENS_PER_EVENT},
     dragonflystep_dispatch::{
