--- a/crates/dragonflystep_dispatch/src/quota.rs
+++ b/crates/dragonflystep_dispatch/src/quota.rs
@@ -160,8 +160,9 @@
 
 /// Rate and size of the bucket of an account, at a node with `share` of the common limits.
 ///
-/// What the tolerance leaves beside parts of the nodes that do not see each other goes into the rate, so that an account that keeps within its quota is hardly ever refused. A node that sees no
-/// majority keeps clear of the tolerance.
+/// What the tolerance leaves beside parts of the nodes that do not see each other, and owners that were told
+/// nothing, goes into the rate, so that an account that keeps within its quota is hardly ever refused. A node
+/// that sees no majority keeps clear of the tolerance.
 fn bucket_of(
     rules: &QuotaRules,
     quota: &AccountQuota,
--- a/crates/dragonflystep_dispatch/tests/overload.rs
+++ b/crates/dragonflystep_dispatch/tests/overload.rs
@@ -6,9 +6,10 @@
 mod support;
 
 use support::{
-    Load, Replay, booking_kinds,
+    Load, Replay,
     engine::{FAST_READER, SLOW_READER},
-    replay, works_kinds,
+    kinds::{booking_kinds, works_kinds},
+    replay,
 };
 
 fn burst(at_s: f64) -> f64 {
--- a/crates/dragonflystep_dispatch/tests/quota_owners.rs
+++ b/crates/dragonflystep_dispatch/tests/quota_owners.rs
@@ -8,12 +8,14 @@
 
 use {
     dragonflystep_dispatch::{
-        Account, AccountQuota, Ask, Catalogue, Dispatcher, Event, NodeName, QuotaRules, QuotaUnit,
-        Reach, RunId, RunOutcome, SharedLimits, SpendingLedger, Verdict,
+        Ask, Dispatcher, Event, NodeName, QuotaRules, Reach, RunId, RunOutcome, SharedLimits,
+        SpendingLedger, Verdict,
     },
     std::{collections::VecDeque, sync::Arc, time::Duration},
     support::{
-        Random, catalogue, dispatcher, limits, plain_ask,
+        Random,
+        accounts::catalogue_with_quota,
+        dispatcher, limits, plain_ask,
         verdicts::{ask, ended},
     },
 };
@@ -96,22 +98,7 @@
 
 fn new_owner(quota: Quota) -> Dispatcher {
     let mut owner = dispatcher(60, 5);
-    let account = Account {
-        name: "mill".into(),
-        keys: vec!["key".to_owned()],
-        tier: None,
-        quota: Some(AccountQuota {
-            unit: QuotaUnit::Tokens {
-                plain_request_tokens: 200,
-            },
-            units_per_s: quota.units_per_s,
-            burst_units: quota.burst_units,
-        }),
-    };
-    let catalogue = Catalogue {
-        accounts: vec![account],
-        ..catalogue(5)
-    };
+    let catalogue = catalogue_with_quota(quota.units_per_s, quota.burst_units);
     owner.reduce(Duration::ZERO, Event::CatalogueChanged(Arc::new(catalogue)));
     let rules = QuotaRules {
         window: WINDOW,
--- a/crates/dragonflystep_dispatch/tests/quotas.rs
+++ b/crates/dragonflystep_dispatch/tests/quotas.rs
@@ -4,34 +4,19 @@
 
 use {
     dragonflystep_dispatch::{
-        Account, AccountQuota, Ask, Catalogue, Dispatcher, Event, QuotaUnit, RefusalReason, RunId,
-        RunOutcome, SpendingLedger, Verdict,
+        Ask, Dispatcher, Event, RefusalReason, RunId, RunOutcome, SpendingLedger, Verdict,
     },
     std::{sync::Arc, time::Duration},
     support::{
-        catalogue, dispatcher, plain_ask,
+        accounts::catalogue_with_quota,
+        dispatcher, plain_ask,
         verdicts::{AT, ask, ended},
     },
 };
 
 fn with_quota(units_per_s: f64, burst_units: f64) -> Dispatcher {
     let mut owner = dispatcher(60, 5);
-    let account = Account {
-        name: "mill".into(),
-        keys: vec!["key".to_owned()],
-        tier: None,
-        quota: Some(AccountQuota {
-            unit: QuotaUnit::Tokens {
-                plain_request_tokens: 200,
-            },
-            units_per_s,
-            burst_units,
-        }),
-    };
-    let catalogue = Catalogue {
-        accounts: vec![account],
-        ..catalogue(5)
-    };
+    let catalogue = catalogue_with_quota(units_per_s, burst_units);
     owner.reduce(Duration::ZERO, Event::CatalogueChanged(Arc::new(catalogue)));
     owner
 }
