--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -240,7 +240,11 @@
             match ended.outcome {
                 RunOutcome::Broken => self.suspects.broke(now, end.fingerprint),
                 RunOutcome::Completed => self.suspects.completed(end.fingerprint),
-                _ => {}
+                RunOutcome::Failed
+                | RunOutcome::Rejected
+                | RunOutcome::Misdirected
+                | RunOutcome::Unreachable
+                | RunOutcome::Cancelled => {}
             }
             if !ended.outcome.has_run()
                 && let Some(account) = &end.ask.account
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -18,6 +18,7 @@
     },
     std::{
         cell::{Cell, RefCell},
+        future::Future,
         io,
         time::Duration,
     },
@@ -175,10 +176,7 @@
             let response = self.heard(request.send().promise.await)?;
             Ok(response.get()?.get_changes()?.to_vec())
         };
-        match timeout(limit, call).await {
-            Ok(result) => result,
-            Err(_) => Err(PeerError::Timeout(limit)),
-        }
+        within(limit, call).await
     }
 
     /// Exchanges views; a node that does not answer within `limit` counts as failed.
@@ -193,10 +191,7 @@
             let response = self.heard(request.send().promise.await)?;
             decode_digest(response.get()?.get_digest()?)
         };
-        match timeout(limit, call).await {
-            Ok(result) => result,
-            Err(_) => Err(PeerError::Timeout(limit)),
-        }
+        within(limit, call).await
     }
 
     fn heard<T>(&self, result: Result<T, capnp::Error>) -> Result<T, PeerError> {
@@ -253,3 +248,13 @@
         Ok(stream)
     }
 }
+
+/// The outcome of a call, if it comes within `limit`.
+async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    timeout(limit, call)
+        .await
+        .unwrap_or(Err(PeerError::Timeout(limit)))
+}
