--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -22,8 +22,7 @@
         } else {
             EXCHANGE_INTERVAL
         };
-        // Nodes that started together do not stay in step.
-        sleep(interval.mul_f64(rand::random_range(0.8..1.2))).await;
+        sleep(node.jittered(interval, 0.8..1.2)).await;
         for neighbour in partners(&node) {
             spawn_local(exchange_with(node.clone(), neighbour));
         }
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -13,7 +13,7 @@
         versioned_list::{Changes, ListEntry, VersionedList},
     },
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
-    dragonflystep_peer::{PeerError, PeerLink},
+    dragonflystep_peer::{PeerError, PeerLink, PeerNetwork},
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
@@ -48,6 +48,7 @@
 /// The nodes of the system as this one sees them.
 pub(crate) struct Members {
     own: MemberRecord,
+    network: Rc<dyn PeerNetwork>,
     /// The list of nodes, of which `others` is made.
     list: RefCell<VersionedList<MemberRecord>>,
     others: RefCell<BTreeMap<NodeName, Other>>,
@@ -58,9 +59,10 @@
 }
 
 impl Members {
-    pub(crate) fn new(own: MemberRecord) -> Self {
+    pub(crate) fn new(own: MemberRecord, network: Rc<dyn PeerNetwork>) -> Self {
         Self {
             own,
+            network,
             list: RefCell::default(),
             others: RefCell::default(),
             told: RefCell::default(),
@@ -130,7 +132,7 @@
             }
             let other = match before.remove(&record.node) {
                 Some(known) if known.record == record => known,
-                _ => Other::new(record.clone()),
+                _ => Other::new(record.clone(), self.network.clone()),
             };
             others.insert(record.node.clone(), other);
         }
@@ -366,9 +368,9 @@
 }
 
 impl Other {
-    fn new(record: MemberRecord) -> Self {
+    fn new(record: MemberRecord, network: Rc<dyn PeerNetwork>) -> Self {
         Self {
-            link: Rc::new(PeerLink::new(record.peers.clone())),
+            link: Rc::new(PeerLink::over(network, record.peers.clone())),
             record,
             has_failed: false,
             is_tried: false,
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -28,15 +28,22 @@
     dragonflystep_dispatch::{
         Event, MonotonicTime, NodeName, Reach, RunId, Upstream, UpstreamPhase,
     },
+    dragonflystep_peer::PeerNetwork,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         cell::{Cell, RefCell},
         future::Future,
         io,
         net::SocketAddr,
+        ops::Range,
         rc::Rc,
-        time::{Duration, Instant},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        task::spawn_local,
+        time::{Instant, sleep},
     },
-    tokio::{net::TcpListener, task::spawn_local, time::sleep},
 };
 
 /// Time between two looks at idle connections to upstreams.
@@ -75,6 +82,7 @@
     /// Settings that a reload may change.
     pub(crate) stop_grace: Cell<Duration>,
     pub(crate) address_lifetime: Cell<Duration>,
+    random: RefCell<SmallRng>,
     incarnation: u64,
     runs_started: Cell<u32>,
     /// When another node last answered an exchange.
@@ -86,8 +94,14 @@
 }
 
 impl Node {
-    fn new(settings: NodeSettings, dialect: Box<dyn Dialect>) -> Self {
-        let incarnation: u64 = rand::random();
+    fn new(
+        settings: NodeSettings,
+        dialect: Box<dyn Dialect>,
+        network: Rc<dyn PeerNetwork>,
+    ) -> Self {
+        let seed = settings.seed.unwrap_or_else(rand::random);
+        let mut random = SmallRng::seed_from_u64(seed);
+        let incarnation = random.random();
         let own = MemberRecord {
             node: settings.node.clone(),
             data_centre: settings.data_centre.clone(),
@@ -97,7 +111,7 @@
         };
         Self {
             owner: Rc::new(Owner::new(settings.shared_limits)),
-            members: Members::new(own),
+            members: Members::new(own, network),
             entry_runs: EntryRuns::new(
                 settings.shared_limits.quota.window,
                 settings.is_first_start,
@@ -109,6 +123,7 @@
             stop: StopSignal::default(),
             stop_grace: Cell::new(settings.stop_grace),
             address_lifetime: Cell::new(settings.address_lifetime),
+            random: RefCell::new(random),
             incarnation,
             runs_started: Cell::new(0),
             exchanged_at: Cell::new(Duration::ZERO),
@@ -139,6 +154,11 @@
             || is_first(&self.ranked_owners(), PREFERRED_OWNERS)
     }
 
+    /// A wait times a random factor, so that nodes which started or failed together do not stay in step.
+    pub fn jittered(&self, wait: Duration, factors: Range<f64>) -> Duration {
+        wait.mul_f64(self.random.borrow_mut().random_range(factors))
+    }
+
     /// Counts a call to the platform by its outcome; `has_answered` says whether the platform did what was asked.
     pub fn note_platform_call(&self, outcome: &'static str, has_answered: bool) {
         self.metrics.count("platform_calls_total", outcome);
@@ -159,6 +179,11 @@
         *last = owner.cloned();
     }
 
+    /// Version of the catalogue in force; 0 is none.
+    pub fn catalogue_version(&self) -> u64 {
+        self.views.catalogue_version()
+    }
+
     /// Nodes that are listed, this one included.
     pub fn listed_nodes(&self) -> usize {
         self.members.listed_count()
@@ -334,15 +359,17 @@
     settings: NodeSettings,
     dialect: Box<dyn Dialect>,
     platform: Rc<dyn Platform>,
+    network: Rc<dyn PeerNetwork>,
     told_to_stop: impl Future<Output = Result<(), NodeError>>,
 ) -> Result<(), NodeError> {
-    let node = Rc::new(Node::new(settings, dialect));
+    let node = Rc::new(Node::new(settings, dialect, network.clone()));
     let started = Instant::now();
     let addresses = &node.settings;
     let ingress = listen(addresses.ingress, "callers").await?;
     let readiness = listen(addresses.readiness, "readiness").await?;
     let directory = listen(addresses.directory, "the directory").await?;
-    let peers = listen(addresses.peers, "other nodes").await?;
+    let peers = network.listen(addresses.peers).await;
+    let peers = peers.map_err(|source| listen_error(addresses.peers, "other nodes", source))?;
     if let Some(address) = addresses.metrics {
         let metrics = listen(address, "metrics").await?;
         spawn_local(serve_door(node.clone(), metrics, Door::Metrics));
@@ -364,13 +391,16 @@
 }
 
 async fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| NodeError::Listen {
-            address,
-            purpose,
-            source,
-        })
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| listen_error(address, purpose, source))
+}
+
+fn listen_error(address: SocketAddr, purpose: &'static str, source: io::Error) -> NodeError {
+    NodeError::Listen {
+        address,
+        purpose,
+        source,
+    }
 }
 
 async fn keep_house(node: Rc<Node>) {
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -7,31 +7,25 @@
     dragonflystep_dispatch::{
         Ask, Ended, Event, RunId, RunningRun, ServiceName, SpendingReport, UpstreamLoad, Verdict,
     },
-    dragonflystep_peer::{
-        Digest, PeerHandler, SilenceLimits, VerdictFuture, prepare_stream, serve_peer,
-    },
+    dragonflystep_peer::{Digest, PeerHandler, PeerListener, VerdictFuture, serve_peer},
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
-    tokio::{net::TcpListener, task::spawn_local, time::sleep},
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// Wait after the system refused a connection, for example because no file number was free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Serves other nodes for as long as the node runs.
-pub(crate) async fn serve_peers(node: Rc<Node>, listener: TcpListener) {
+pub(crate) async fn serve_peers(node: Rc<Node>, mut listener: Box<dyn PeerListener>) {
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok(stream) => stream,
             Err(error) => {
                 log::warn!(error:%; "can't accept a connection of another node");
                 sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        if let Err(error) = prepare_stream(&stream, SilenceLimits::default()) {
-            log::debug!(error:%; "a connection of another node ended at once");
-            continue;
-        }
         let session = Rc::new(PeerSession {
             node: node.clone(),
             runs: Rc::default(),
--- a/crates/dragonflystep_edge/src/platform.rs
+++ b/crates/dragonflystep_edge/src/platform.rs
@@ -17,5 +17,5 @@
     fn follow(self: Rc<Self>, node: Rc<Node>) -> PlatformFuture;
 
     /// Takes the node off the platform's list before it stops.
-    fn withdraw(self: Rc<Self>) -> PlatformFuture;
+    fn withdraw(self: Rc<Self>, node: Rc<Node>) -> PlatformFuture;
 }
--- a/crates/dragonflystep_edge/src/settings.rs
+++ b/crates/dragonflystep_edge/src/settings.rs
@@ -37,6 +37,8 @@
     pub address_lifetime: Duration,
     /// Connections of callers at most.
     pub max_client_connections: usize,
+    /// Seed of the node's random waits; none draws one.
+    pub seed: Option<u64>,
 }
 
 /// A node as others find it, kept by the platform.
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -135,6 +135,7 @@
         address_lifetime: ADDRESS_LIFETIME
             .min(Duration::from_secs_f64(file.address_lifetime_limit_s)),
         max_client_connections: (file.max_descriptors as f64 * CLIENT_DESCRIPTOR_SHARE) as usize,
+        seed: None,
     };
     Ok((settings, file.platform))
 }
--- a/crates/dragonflystep_edge/src/stop.rs
+++ b/crates/dragonflystep_edge/src/stop.rs
@@ -98,7 +98,7 @@
     node.stop.since.set(Some(since));
     log::info!(open_requests = node.stop.open_requests.get(); "node is stopping");
     tell_neighbours(node);
-    spawn_local(platform.withdraw());
+    spawn_local(platform.withdraw(node.clone()));
     sleep(STOP_SERVES_NEW).await;
     node.stop.closing.send_replace(true);
     let last = node.stop_grace.get().saturating_sub(STOP_MARGIN);
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod generated;
 mod link;
+mod network;
 mod server;
 mod sockets;
 
@@ -16,6 +17,7 @@
 pub use self::{
     error::PeerError,
     link::PeerLink,
+    network::{ListenerFuture, PeerListener, PeerNetwork, PeerStream, StreamFuture, TcpNetwork},
     server::{PeerHandler, VerdictFuture, serve_peer},
     sockets::{SilenceLimits, prepare_stream},
 };
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -2,13 +2,12 @@
 
 use {
     crate::{
-        Digest, PeerError, SilenceLimits,
+        Digest, PeerError, PeerNetwork, TcpNetwork,
         codec::{
             decode_digest, decode_verdict, encode_ask, encode_digest, encode_ended, encode_load,
             encode_running, encode_spending,
         },
         peer_capnp::peer,
-        prepare_stream,
         server::network,
         since,
     },
@@ -19,23 +18,20 @@
     std::{
         cell::{Cell, RefCell},
         future::Future,
-        io,
+        rc::Rc,
         time::Duration,
     },
     tokio::{
-        net::TcpStream,
         sync::Mutex,
         task::{JoinHandle, spawn_local},
         time::{Instant, timeout},
     },
 };
 
-/// Time to open a connection; several round trips within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// A link to one node: a connection while there is one, opened when it is needed.
 pub struct PeerLink {
     address: String,
+    network: Rc<dyn PeerNetwork>,
     start: Instant,
     connection: RefCell<Option<Connection>>,
     opening: Mutex<()>,
@@ -57,10 +53,16 @@
 }
 
 impl PeerLink {
-    /// A link to the node at `address`, as IP:PORT; nothing is opened yet.
+    /// A link to the node at `address`, as IP:PORT, over TCP; nothing is opened yet.
     pub fn new(address: String) -> Self {
+        Self::over(Rc::new(TcpNetwork), address)
+    }
+
+    /// A link to the node at `address`, as IP:PORT, over a network; nothing is opened yet.
+    pub fn over(network: Rc<dyn PeerNetwork>, address: String) -> Self {
         Self {
             address,
+            network,
             start: Instant::now(),
             connection: RefCell::new(None),
             opening: Mutex::new(()),
@@ -215,7 +217,8 @@
         if let Some(client) = self.open_client() {
             return Ok(client);
         }
-        let stream = self.connect().await.map_err(|source| PeerError::Connect {
+        let stream = self.network.connect(&self.address).await;
+        let stream = stream.map_err(|source| PeerError::Connect {
             address: self.address.clone(),
             source,
         })?;
@@ -239,14 +242,6 @@
         let open = connection.as_ref()?;
         (!open.task.is_finished()).then(|| open.client.clone())
     }
-
-    async fn connect(&self) -> io::Result<TcpStream> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(&self.address))
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        prepare_stream(&stream, SilenceLimits::default())?;
-        Ok(stream)
-    }
 }
 
 /// The outcome of a call, if it comes within `limit`.
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Digest, PeerError,
+        Digest, PeerError, PeerStream,
         codec::{
             decode_ask, decode_digest, decode_ended, decode_load, decode_running, decode_spending,
             encode_digest, encode_verdict,
@@ -14,8 +14,8 @@
     dragonflystep_dispatch::{Ask, Ended, RunningRun, SpendingReport, UpstreamLoad, Verdict},
     futures::io::{BufReader, BufWriter},
     std::{future::Future, pin::Pin, rc::Rc},
-    tokio::net::TcpStream,
-    tokio_util::compat::TokioAsyncReadCompatExt,
+    tokio::io::{ReadHalf, WriteHalf, split},
+    tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
 
 /// A verdict that comes when there is one; dropping it withdraws the request.
@@ -49,7 +49,7 @@
 pub(crate) const BUFFER_BYTES: usize = 2048;
 
 /// Serves one connection of another node until it ends.
-pub async fn serve_peer(stream: TcpStream, handler: Rc<dyn PeerHandler>) {
+pub async fn serve_peer(stream: Box<dyn PeerStream>, handler: Rc<dyn PeerHandler>) {
     let network = network(stream, Side::Server);
     let client: peer::Client = new_client(Served { handler });
     if let Err(error) = RpcSystem::new(network, Some(client.client)).await {
@@ -57,17 +57,17 @@
     }
 }
 
+/// What reads a connection, buffered.
+type StreamReader = BufReader<Compat<ReadHalf<Box<dyn PeerStream>>>>;
+
 pub(crate) fn network(
-    stream: TcpStream,
+    stream: Box<dyn PeerStream>,
     side: Side,
-) -> Box<VatNetwork<BufReader<tokio_util::compat::Compat<tokio::net::tcp::OwnedReadHalf>>>> {
-    let (read, write) = stream.into_split();
+) -> Box<VatNetwork<StreamReader>> {
+    let (read, write): (_, WriteHalf<_>) = split(stream);
     Box::new(VatNetwork::new(
         BufReader::with_capacity(BUFFER_BYTES, read.compat()),
-        BufWriter::with_capacity(
-            BUFFER_BYTES,
-            tokio_util::compat::TokioAsyncWriteCompatExt::compat_write(write),
-        ),
+        BufWriter::with_capacity(BUFFER_BYTES, write.compat_write()),
         side,
         capnp::message::ReaderOptions::new(),
     ))
