Fetch the catalogue piece by piece over a link of its own, and read the store for as long as it goes on

Cause: what had to come whole within a fixed time (a fetch 800 ms, an answer of the store 1.5 s) was thrown away and begun anew where links were slower; and an exchange of views that was late behind such a transfer reset the link that carried it.

Change: pieces of 20 KB, each with its time, kept when a fetch breaks off; a link of its own for a fetch; the store's answers have a limit for their beginning and for each silence in them, none for the whole. A node that heard of a newer catalogue and got nothing of it for 1 s reads the store. A node whose first list has a version tells no changes from before that version, which it can't know: who asked got a list that still held what was gone (test a_node_tells_no_changes_from_before_it_knew_the_list, failed before with base_version 14 in place of 0).

--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -186,6 +186,14 @@
         others.get(node).map(|other| other.link.clone())
     }
 
+    /// A link of its own for a transfer: an exchange of views that comes too late resets the usual link, and a
+    /// transfer would break off with it.
+    pub(crate) fn transfer_link(&self, node: &str) -> Option<PeerLink> {
+        let others = self.others.borrow();
+        let address = others.get(node).map(|other| other.record.peers.clone())?;
+        Some(PeerLink::over(self.network.clone(), address))
+    }
+
     /// Nodes by rank for `key`; nodes that are not seen or are leaving have no rank.
     pub(crate) fn ranked(&self, now: MonotonicTime, key: &str, is_leaving: bool) -> Vec<NodeName> {
         let mut candidates: Vec<Member> = self
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -138,13 +138,13 @@
     ///
     /// In a large system a few nodes and the owners of services do; the others hear what is new when
     /// they exchange views with the owners, which saves a call a node for each change. Who has not heard
-    /// another node for a while follows the documents too.
+    /// another node for a while follows the documents too, and so does who hears of a newer catalogue and can't fetch it.
     pub fn follows_platform(&self) -> bool {
         if self.members.listed_count() <= SMALL_SYSTEM_NODES || !self.is_ready() {
             return true;
         }
         let silent_for = self.owner.now().saturating_sub(self.exchanged_at.get());
-        if silent_for > PEERS_SILENT {
+        if silent_for > PEERS_SILENT || self.is_catalogue_behind() {
             return true;
         }
         let own = &self.settings.node;
@@ -226,6 +226,7 @@
         };
         let catalogue = table.catalogue().clone();
         log::info!(source, version = catalogue.version, before, routes = catalogue.routes.len(); "catalogue in force");
+        self.catalogue_fetches.note_in_force(catalogue.version);
         self.owner.apply(Event::CatalogueChanged(catalogue));
     }
 
@@ -339,6 +340,10 @@
                     .as_secs_f64(),
             ),
             ("catalogue_version", self.views.catalogue_version() as f64),
+            (
+                "catalogue_behind_s",
+                self.catalogue_fetches.waits_for(now).as_secs_f64(),
+            ),
             ("registry_version", self.views.registry().version as f64),
             ("members_known", self.members.known_count() as f64),
             ("members_visible", self.members.mutual_count(now) as f64),
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -7,7 +7,10 @@
     dragonflystep_dispatch::{
         Ask, Ended, Event, RunId, RunningRun, ServiceName, SpendingReport, UpstreamLoad, Verdict,
     },
-    dragonflystep_peer::{Digest, PeerHandler, PeerListener, VerdictFuture, serve_peer},
+    dragonflystep_peer::{
+        CataloguePiece, CataloguePieceAsk, Digest, PeerHandler, PeerListener, VerdictFuture,
+        serve_peer,
+    },
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
 };
@@ -75,8 +78,8 @@
         self.node.owner.apply(Event::LoadObserved(load));
     }
 
-    fn catalogue_since(&self, version: u64) -> Vec<u8> {
-        self.node.catalogue_since(version)
+    fn catalogue_since(&self, ask: CataloguePieceAsk) -> CataloguePiece {
+        self.node.catalogue_piece(ask)
     }
 
     fn exchange(&self, digest: Digest) -> Digest {
--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -83,6 +83,11 @@
         !self.wants_whole
     }
 
+    /// Whether a list of `their_version` holds something new.
+    pub(crate) fn lacks(&self, their_version: u64) -> bool {
+        their_version > self.version || self.wants_whole && their_version == self.version
+    }
+
     pub(crate) fn entries(&self) -> impl Iterator<Item = &T> {
         self.held.values().map(|held| &held.entry)
     }
@@ -96,6 +101,11 @@
         if version < self.version || version == self.version && !self.wants_whole {
             return false;
         }
+        if self.version == 0 || self.wants_whole {
+            // What was removed before this list is not known here. Who asked for changes from then on got a list that
+            // still held what was gone, and the whole one an exchange of views later.
+            self.forgotten = version;
+        }
         let kept: HashSet<&str> = entries.iter().map(|entry| &**entry.key()).collect();
         let keys = self.held.keys();
         let gone: Vec<Arc<str>> = keys
--- a/crates/dragonflystep_edge/src/views.rs
+++ b/crates/dragonflystep_edge/src/views.rs
@@ -72,6 +72,11 @@
         true
     }
 
+    /// Whether a node that has a version of the catalogue can tell this one something new.
+    pub(crate) fn lacks_catalogue(&self, their_version: u64) -> bool {
+        self.catalogue_list.borrow().lacks(their_version)
+    }
+
     /// The catalogue's version to tell other nodes.
     pub(crate) fn told_catalogue_version(&self) -> u64 {
         self.catalogue_list.borrow().told_version()
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -83,6 +83,12 @@
   exchange @3 (digest :Digest) -> (digest :Digest);
   loadObserved @4 (load :UpstreamLoad) -> ();
   spent @5 (report :SpendingReport) -> ();
-  # What a node lacks that has the given version of the catalogue; 0 asks for all of it.
-  catalogueSince @6 (version :UInt64) -> (changes :Data);
+  # A piece of what a node lacks that has the given version of the catalogue; 0 asks for all of it.
+  catalogueSince @6 (piece :CataloguePieceAsk) -> (piece :CataloguePiece);
 }
+
+# Asks for bytes from an offset on. `leadsTo` is the version to which the pieces so far lead, 0 at first.
+struct CataloguePieceAsk { version @0 :UInt64; leadsTo @1 :UInt64; offset @2 :UInt32; }
+
+# Bytes of changes that have `totalBytes` in all; none at all when the asking node lacks nothing.
+struct CataloguePiece { leadsTo @0 :UInt64; totalBytes @1 :UInt32; bytes @2 :Data; }
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -27,6 +27,28 @@
     std::time::Duration,
 };
 
+/// Asks for a piece of what a node lacks of the catalogue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CataloguePieceAsk {
+    /// Version that the asking node has; 0 asks for the whole catalogue.
+    pub version: u64,
+    /// Version to which the pieces so far lead; 0 for the first one.
+    pub leads_to: u64,
+    /// Bytes that the asking node has already.
+    pub offset_bytes: u32,
+}
+
+/// A piece of what a node lacks of the catalogue, in the nodes' own form.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CataloguePiece {
+    /// Version to which all pieces lead; another one than that asked for means that the pieces start anew.
+    pub leads_to: u64,
+    /// Bytes of all pieces; 0 when the asking node lacks nothing.
+    pub total_bytes: u32,
+    /// The piece.
+    pub bytes: Vec<u8>,
+}
+
 /// What a node tells another one of its view.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Digest {
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Digest, PeerError, PeerNetwork, TcpNetwork,
+        CataloguePiece, CataloguePieceAsk, Digest, PeerError, PeerNetwork, TcpNetwork,
         codec::{
             decode_digest, decode_verdict, encode_ask, encode_digest, encode_ended, encode_load,
             encode_running, encode_spending,
@@ -162,21 +162,29 @@
         Ok(())
     }
 
-    /// Asks for what this node lacks that has a version of the catalogue.
+    /// Asks for a piece of what this node lacks of the catalogue.
     ///
     /// # Errors
     /// When the node can't be reached, does not answer in time or the connection breaks.
     pub async fn catalogue_since(
         &self,
-        version: u64,
+        ask: CataloguePieceAsk,
         limit: Duration,
-    ) -> Result<Vec<u8>, PeerError> {
+    ) -> Result<CataloguePiece, PeerError> {
         let call = async {
             let client = self.client().await?;
             let mut request = client.catalogue_since_request();
-            request.get().set_version(version);
+            let mut message = request.get().init_piece();
+            message.set_version(ask.version);
+            message.set_leads_to(ask.leads_to);
+            message.set_offset(ask.offset_bytes);
             let response = self.heard(request.send().promise.await)?;
-            Ok(response.get()?.get_changes()?.to_vec())
+            let piece = response.get()?.get_piece()?;
+            Ok(CataloguePiece {
+                leads_to: piece.get_leads_to(),
+                total_bytes: piece.get_total_bytes(),
+                bytes: piece.get_bytes()?.to_vec(),
+            })
         };
         within(limit, call).await
     }
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Digest, PeerError, PeerStream,
+        CataloguePiece, CataloguePieceAsk, Digest, PeerError, PeerStream,
         codec::{
             decode_ask, decode_digest, decode_ended, decode_load, decode_running, decode_spending,
             encode_digest, encode_verdict,
@@ -38,8 +38,8 @@
     /// Tells what an upstream said of its load.
     fn load_observed(&self, load: UpstreamLoad);
 
-    /// What a node lacks that has a version of the catalogue, in the nodes' own form.
-    fn catalogue_since(&self, version: u64) -> Vec<u8>;
+    /// A piece of what a node lacks that has a version of the catalogue.
+    fn catalogue_since(&self, ask: CataloguePieceAsk) -> CataloguePiece;
 
     /// Tells a view and asks for the own one.
     fn exchange(&self, digest: Digest) -> Digest;
@@ -60,10 +60,7 @@
 /// What reads a connection, buffered.
 type StreamReader = BufReader<Compat<ReadHalf<Box<dyn PeerStream>>>>;
 
-pub(crate) fn network(
-    stream: Box<dyn PeerStream>,
-    side: Side,
-) -> Box<VatNetwork<StreamReader>> {
+pub(crate) fn network(stream: Box<dyn PeerStream>, side: Side) -> Box<VatNetwork<StreamReader>> {
     let (read, write): (_, WriteHalf<_>) = split(stream);
     Box::new(VatNetwork::new(
         BufReader::with_capacity(BUFFER_BYTES, read.compat()),
@@ -144,9 +141,16 @@
         params: peer::CatalogueSinceParams,
         mut results: peer::CatalogueSinceResults,
     ) -> Promise<(), capnp::Error> {
-        let version = pry!(params.get()).get_version();
-        let changes = self.handler.catalogue_since(version);
-        results.get().set_changes(&changes);
+        let ask = pry!(pry!(params.get()).get_piece());
+        let piece = self.handler.catalogue_since(CataloguePieceAsk {
+            version: ask.get_version(),
+            leads_to: ask.get_leads_to(),
+            offset_bytes: ask.get_offset(),
+        });
+        let mut result = results.get().init_piece();
+        result.set_leads_to(piece.leads_to);
+        result.set_total_bytes(piece.total_bytes);
+        result.set_bytes(&piece.bytes);
         Promise::ok(())
     }
 
