--- a/crates/dragonflystep_edge/src/catalogue_fetch.rs
+++ b/crates/dragonflystep_edge/src/catalogue_fetch.rs
@@ -4,8 +4,8 @@
     crate::{
         catalogue_list::{decode, encode},
         limits::{
-            CATALOGUE_ANSWERS_KEPT, CATALOGUE_BEHIND, CATALOGUE_PIECE_BYTES,
-            CATALOGUE_PIECE_TIMEOUT, CATALOGUE_PIECE_TRIES,
+            CATALOGUE_ANSWERS_KEPT, CATALOGUE_PIECE_BYTES, CATALOGUE_PIECE_TIMEOUT,
+            CATALOGUE_PIECE_TRIES,
         },
         node::Node,
     },
@@ -80,11 +80,6 @@
 }
 
 impl Node {
-    /// Whether this node heard of a newer catalogue and gets nothing of it from the nodes that it hears.
-    pub(crate) fn is_catalogue_behind(&self) -> bool {
-        self.catalogue_fetches.waits_for(self.owner.now()) > CATALOGUE_BEHIND
-    }
-
     /// A piece of what a node lacks that has a version of the catalogue.
     pub(crate) fn catalogue_piece(&self, ask: CataloguePieceAsk) -> CataloguePiece {
         let mut answers = self.catalogue_fetches.answers.borrow_mut();
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -36,10 +36,6 @@
 /// series of changes, for a fetch that takes about a second.
 pub(crate) const CATALOGUE_ANSWERS_KEPT: usize = 8;
 
-/// A node that heard of a newer catalogue and got nothing of it this long reads it from the platform; half of the
-/// shortest time in which operators expect a change to be in force.
-pub(crate) const CATALOGUE_BEHIND: Duration = Duration::from_millis(1_000);
-
 /// Up to this many nodes exchange views each with each; beyond it with some neighbours and the owners.
 pub(crate) const SMALL_SYSTEM_NODES: usize = 12;
 
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -138,13 +138,13 @@
     ///
     /// In a large system a few nodes and the owners of services do; the others hear what is new when
     /// they exchange views with the owners, which saves a call a node for each change. Who has not heard
-    /// another node for a while follows the documents too, and so does who hears of a newer catalogue and can't fetch it.
+    /// another node for a while follows the documents too.
     pub fn follows_platform(&self) -> bool {
         if self.members.listed_count() <= SMALL_SYSTEM_NODES || !self.is_ready() {
             return true;
         }
         let silent_for = self.owner.now().saturating_sub(self.exchanged_at.get());
-        if silent_for > PEERS_SILENT || self.is_catalogue_behind() {
+        if silent_for > PEERS_SILENT {
             return true;
         }
         let own = &self.settings.node;
@@ -184,6 +184,11 @@
         self.views.catalogue_version()
     }
 
+    /// Whether this node sees most of the nodes that may be running.
+    pub fn sees_majority(&self) -> bool {
+        self.owner.reach().is_majority()
+    }
+
     /// Nodes that are listed, this one included.
     pub fn listed_nodes(&self) -> usize {
         self.members.listed_count()
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -64,6 +64,10 @@
         }
     }
 
+    pub(crate) fn reach(&self) -> Reach {
+        self.reach.get()
+    }
+
     /// Notes how much of the system this node sees, if that changed.
     pub(crate) fn set_reach(&self, reach: Reach) {
         if self.reach.replace(reach) != reach {
