Let a node that hears no other one see no majority, and ask the store sooner

Cause: a node tries its neighbours and the owners and takes all others for seen, so that one which is cut off from all counted itself to the majority for the whole cut; and it asked the store only after 2.5 s without another node. After the cut it tried the nodes that had failed again six at a time.

Change: a node that no other one answered for 1.5 s sees itself alone, looked at four times a second, and follows the store. When one answers again, all others count as reachable until they are tried.

Ruled out: looking at the reach after each exchange (seen after up to 2.5 s).

--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -3,7 +3,10 @@
 use {
     crate::{
         catalogue_fetch::fetch_if_newer,
-        limits::{EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, SMALL_SYSTEM_NODES},
+        limits::{
+            EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, REACH_LOOK,
+            SMALL_SYSTEM_NODES,
+        },
         node::Node,
     },
     dragonflystep_dispatch::NodeName,
@@ -26,6 +29,13 @@
         for neighbour in partners(&node) {
             spawn_local(exchange_with(node.clone(), neighbour));
         }
+    }
+}
+
+/// Looks again and again at how much of the system this node sees, for as long as it runs.
+pub(crate) async fn watch_reach(node: Rc<Node>) {
+    loop {
+        sleep(REACH_LOOK).await;
         node.update_reach();
     }
 }
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -107,8 +107,14 @@
 /// Name by which these nodes are ranked, as owners of a service are.
 pub(crate) const FOLLOWERS_KEY: &str = "platform followers";
 
-/// A node that has not heard another one this long follows the platform itself; three exchanges.
-pub(crate) const PEERS_SILENT: Duration = Duration::from_millis(2_500);
+/// Time between two looks at how much of the system a node sees; with the time after which others count as silent it
+/// notices within 2 s that it is cut off.
+pub(crate) const REACH_LOOK: Duration = Duration::from_millis(250);
+
+/// A node that no other one answered for this long is cut off from them: it follows the platform itself, and sees no
+/// majority. Longer than the longest time between two exchanges (0.96 s) with the time that each has; and short
+/// enough that it hears of a leaving upstream within the 2 to 3 s after which nothing may be sent there.
+pub(crate) const PEERS_SILENT: Duration = Duration::from_millis(1_500);
 
 /// Name by which the owner of all services is ranked.
 pub(crate) const OWNERS_KEY: &str = "services";
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -274,6 +274,15 @@
         }
     }
 
+    /// Takes all nodes for reachable until they are tried again: those that failed while this node was cut off may be
+    /// well, and trying them one after the other took longer than the cut.
+    pub(crate) fn forget_failures(&self) {
+        for other in self.others.borrow_mut().values_mut() {
+            other.has_failed = false;
+            other.told_unavailable_until = MonotonicTime::ZERO;
+        }
+    }
+
     /// Notes whether a node said that it is stopping.
     pub(crate) fn set_leaving(&self, node: &str, is_leaving: bool) {
         if let Some(other) = self.others.borrow_mut().get_mut(node) {
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -7,7 +7,7 @@
         catalogue_fetch::CatalogueFetches,
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
-        exchange::exchange_views,
+        exchange::{exchange_views, watch_reach},
         limits::{
             FOLLOWERS_KEY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PREFERRED_OWNERS,
             SMALL_SYSTEM_NODES,
@@ -143,8 +143,7 @@
         if self.members.listed_count() <= SMALL_SYSTEM_NODES || !self.is_ready() {
             return true;
         }
-        let silent_for = self.owner.now().saturating_sub(self.exchanged_at.get());
-        if silent_for > PEERS_SILENT {
+        if self.hears_no_node() {
             return true;
         }
         let own = &self.settings.node;
@@ -159,6 +158,12 @@
         wait.mul_f64(self.random.borrow_mut().random_range(factors))
     }
 
+    /// Whether no other node has answered this one for a while.
+    pub fn hears_no_node(&self) -> bool {
+        let silent_for = self.owner.now().saturating_sub(self.exchanged_at.get());
+        self.members.listed_count() > 1 && silent_for > PEERS_SILENT
+    }
+
     /// Counts a call to the platform by its outcome; `has_answered` says whether the platform did what was asked.
     pub fn note_platform_call(&self, outcome: &'static str, has_answered: bool) {
         self.metrics.count("platform_calls_total", outcome);
@@ -327,7 +332,11 @@
     /// Tells the owner's side how many of the nodes are seen.
     pub(crate) fn update_reach(&self) {
         let known = self.members.known_count();
-        let visible = if self.members.has_looked_around() {
+        // Nodes that were not tried count as seen. Where none of those that were tried answers, the others are no
+        // more to be seen: 8 of 24 nodes, each cut off by itself, counted themselves to the majority for the whole
+        // cut, and each gave out whole quotas.
+        let sees_others = self.members.has_looked_around() && !self.hears_no_node();
+        let visible = if sees_others {
             self.members.mutual_count(self.owner.now())
         } else {
             1
@@ -391,6 +400,7 @@
     spawn_local(node.owner.clone().run());
     spawn_local(node.owner.clone().log_beliefs());
     spawn_local(exchange_views(node.clone()));
+    spawn_local(watch_reach(node.clone()));
     spawn_local(keep_house(node.clone()));
     spawn_local(platform.clone().follow(node.clone()));
     log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation, is_first_start = node.settings.is_first_start; "node started");
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -44,6 +44,10 @@
 
     /// Notes that another node answered an exchange.
     pub(crate) fn note_exchange(&self) {
+        if self.hears_no_node() {
+            log::info!("another node answers again after all were silent");
+            self.members.forget_failures();
+        }
         self.exchanged_at.set(self.owner.now());
     }
 
