Let more nodes follow the store when nobody of whom they hear is answered

Cause: the ten nodes that follow the store for all others are ranked by name and size.

Change: an exchange of views tells how long ago the platform answered the teller, or one of whom it heard.

--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -96,9 +96,12 @@
     digest.unavailable = node.members.own_unavailable();
     // If this arrives, the other node can be called.
     digest.unavailable.retain(|other| *other != peer);
+    let asked_at = node.owner.now();
     match link.exchange(&digest, EXCHANGE_TIMEOUT).await {
         Ok(theirs) => {
             node.members.answered(&peer, theirs.is_leaving);
+            // Counted from the call on: what is on the way does not grow younger from node to node.
+            node.note_platform_heard(asked_at.saturating_sub(theirs.platform_heard));
             node.note_exchange();
             node.exchanged(&theirs, false);
             fetch_if_newer(&node, &theirs);
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -41,6 +41,7 @@
     answer::{AnswerBody, AnswerCut, end_to_end_headers},
     burn::{EdgeBurnReport, RouteBurn},
     dialect::{AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, UpstreamFacts},
+    limits::OWNER_FEED_WAIT,
     logs::{LogBuffer, LogError, start_log},
     metrics::Metrics,
     node::{Node, NodeError, run_node},
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -9,8 +9,8 @@
         dialect::Dialect,
         exchange::{exchange_views, watch_reach},
         limits::{
-            FOLLOWERS_KEY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PREFERRED_OWNERS,
-            SMALL_SYSTEM_NODES,
+            FOLLOWERS_KEY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PLATFORM_UNHEARD,
+            PREFERRED_OWNERS, SMALL_SYSTEM_NODES, UNHEARD_FOLLOWERS_FACTOR,
         },
         members::Members,
         metrics::Metrics,
@@ -91,6 +91,8 @@
     exchanged_at: Cell<MonotonicTime>,
     /// When the platform last answered a call.
     platform_answered_at: Cell<MonotonicTime>,
+    /// When the platform last answered this node or one of which it heard.
+    platform_heard_at: Cell<MonotonicTime>,
     /// The node that was asked for a place last.
     last_owner: RefCell<Option<NodeName>>,
 }
@@ -131,6 +133,7 @@
             runs_started: Cell::new(0),
             exchanged_at: Cell::new(Duration::ZERO),
             platform_answered_at: Cell::new(Duration::ZERO),
+            platform_heard_at: Cell::new(Duration::ZERO),
             last_owner: RefCell::default(),
             settings,
             dialect,
@@ -152,8 +155,39 @@
         let own = &self.settings.node;
         let is_first =
             |ranked: &[NodeName], count: usize| ranked.iter().take(count).any(|node| node == own);
-        is_first(&self.ranked(FOLLOWERS_KEY), PLATFORM_FOLLOWERS)
-            || is_first(&self.ranked_owners(), PREFERRED_OWNERS)
+        // Followers are ranked by name and size, and the platform may refuse all of them while it serves others: 63
+        // nodes heard of no change for 5 s, and sent requests to upstreams that had left 3.3 s before.
+        let followers = if self.platform_silence() > PLATFORM_UNHEARD {
+            PLATFORM_FOLLOWERS * UNHEARD_FOLLOWERS_FACTOR
+        } else {
+            PLATFORM_FOLLOWERS
+        };
+        is_first(&self.ranked(FOLLOWERS_KEY), followers) || self.is_preferred_owner()
+    }
+
+    /// Whether other nodes hear from this one whether the platform answers: in a large system, where few follow it,
+    /// the preferred owners, with which all exchange views.
+    pub fn tells_platform_heard(&self) -> bool {
+        self.members.listed_count() > SMALL_SYSTEM_NODES && self.is_preferred_owner()
+    }
+
+    fn is_preferred_owner(&self) -> bool {
+        let ranked = self.ranked_owners();
+        let mut first = ranked.iter().take(PREFERRED_OWNERS);
+        first.any(|node| *node == self.settings.node)
+    }
+
+    /// Time since the platform answered this node, or one that told it so.
+    pub(crate) fn platform_silence(&self) -> Duration {
+        self.owner
+            .now()
+            .saturating_sub(self.platform_heard_at.get())
+    }
+
+    /// Notes that the platform answered somebody at a time.
+    pub(crate) fn note_platform_heard(&self, at: MonotonicTime) {
+        self.platform_heard_at
+            .set(self.platform_heard_at.get().max(at));
     }
 
     /// A wait times a random factor, so that nodes which started or failed together do not stay in step.
@@ -182,6 +216,7 @@
         self.metrics.count("platform_calls_total", outcome);
         if has_answered {
             self.platform_answered_at.set(self.owner.now());
+            self.note_platform_heard(self.owner.now());
         }
     }
 
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -16,6 +16,7 @@
             registry_version: self.views.told_registry_version(),
             is_leaving: self.stop.is_stopping(),
             members_version: self.members.told_version(),
+            platform_heard: self.platform_silence(),
             ..Digest::default()
         }
     }
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -74,6 +74,8 @@
   # Nodes that take no requests: they do not answer, or are about to stop.
   unavailable @7 :List(Text);
   isLeaving @8 :Bool;
+  # Time since the platform answered this node, or one of which it heard.
+  platformHeardUs @9 :UInt64;
 }
 
 interface Peer {
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -267,6 +267,7 @@
         unavailable.set(index as u32, &**node);
     }
     out.set_is_leaving(digest.is_leaving);
+    out.set_platform_heard_us(to_us(digest.platform_heard));
     out.set_members_version(digest.members_version);
     out.set_members(&digest.members);
 }
@@ -279,6 +280,7 @@
         registry: input.get_registry()?.to_vec(),
         unavailable: decode_texts(input.get_unavailable()?)?,
         is_leaving: input.get_is_leaving(),
+        platform_heard: Duration::from_micros(input.get_platform_heard_us()),
         members_version: input.get_members_version(),
         members: input.get_members()?.to_vec(),
     })
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -68,6 +68,8 @@
     pub unavailable: Vec<NodeName>,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// Time since the platform answered it, or a node that told it so.
+    pub platform_heard: Duration,
 }
 
 /// Durations cross the wire as whole microseconds.
