--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -108,8 +108,8 @@
 pub const OWNER_FEED_WAIT: Duration = Duration::from_millis(1_000);
 
 /// When the platform answered nobody of whom a node hears for this long, more nodes follow it: the owners' wait, two
-/// exchanges of views at most 0.8 s apart, and the way. With the time between two looks (0.75 s) short enough that a leaving upstream is known
-/// within 3 s when the platform refuses all that followed it a second before.
+/// exchanges of views at most 0.8 s apart, and the way. With the time between two looks (0.75 s) short enough that
+/// a leaving upstream is known within 3 s when the platform refuses all that followed it a second before.
 pub(crate) const PLATFORM_UNHEARD: Duration = Duration::from_millis(2_600);
 
 /// Followers then, as a multiple of the usual: of 24 one is served nearly always also where six in ten nodes are refused.
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -1,6 +1,7 @@
 //! One node put together.
 
 mod digest;
+mod hearing;
 
 use {
     crate::{
@@ -8,10 +9,7 @@
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
         exchange::{exchange_views, watch_reach},
-        limits::{
-            FOLLOWERS_KEY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PLATFORM_UNHEARD,
-            PREFERRED_OWNERS, SMALL_SYSTEM_NODES, UNHEARD_FOLLOWERS_FACTOR,
-        },
+        limits::OWNERS_KEY,
         members::Members,
         metrics::Metrics,
         owner::Owner,
@@ -140,86 +138,11 @@
         }
     }
 
-    /// Whether this node follows the platform's documents itself.
-    ///
-    /// In a large system a few nodes and the owners of services do; the others hear what is new when
-    /// they exchange views with the owners, which saves a call a node for each change. Who has not heard
-    /// another node for a while follows the documents too.
-    pub fn follows_platform(&self) -> bool {
-        if self.members.listed_count() <= SMALL_SYSTEM_NODES || !self.is_ready() {
-            return true;
-        }
-        if self.hears_no_node() {
-            return true;
-        }
-        let own = &self.settings.node;
-        let is_first =
-            |ranked: &[NodeName], count: usize| ranked.iter().take(count).any(|node| node == own);
-        // Followers are ranked by name and size, and the platform may refuse all of them while it serves others: 63
-        // nodes heard of no change for 5 s, and sent requests to upstreams that had left 3.3 s before.
-        let followers = if self.platform_silence() > PLATFORM_UNHEARD {
-            PLATFORM_FOLLOWERS * UNHEARD_FOLLOWERS_FACTOR
-        } else {
-            PLATFORM_FOLLOWERS
-        };
-        is_first(&self.ranked(FOLLOWERS_KEY), followers) || self.is_preferred_owner()
-    }
-
-    /// Whether other nodes hear from this one whether the platform answers: in a large system, where few follow it,
-    /// the preferred owners, with which all exchange views.
-    pub fn tells_platform_heard(&self) -> bool {
-        self.members.listed_count() > SMALL_SYSTEM_NODES && self.is_preferred_owner()
-    }
-
-    fn is_preferred_owner(&self) -> bool {
-        let ranked = self.ranked_owners();
-        let mut first = ranked.iter().take(PREFERRED_OWNERS);
-        first.any(|node| *node == self.settings.node)
-    }
-
-    /// Time since the platform answered this node, or one that told it so.
-    pub(crate) fn platform_silence(&self) -> Duration {
-        self.owner
-            .now()
-            .saturating_sub(self.platform_heard_at.get())
-    }
-
-    /// Notes that the platform answered somebody at a time.
-    pub(crate) fn note_platform_heard(&self, at: MonotonicTime) {
-        self.platform_heard_at
-            .set(self.platform_heard_at.get().max(at));
-    }
-
     /// A wait times a random factor, so that nodes which started or failed together do not stay in step.
     pub fn jittered(&self, wait: Duration, factors: Range<f64>) -> Duration {
         wait.mul_f64(self.random.borrow_mut().random_range(factors))
     }
 
-    /// Whether no other node has answered this one for a while.
-    pub fn hears_no_node(&self) -> bool {
-        let silent_for = self.owner.now().saturating_sub(self.exchanged_at.get());
-        self.members.listed_count() > 1 && silent_for > PEERS_SILENT
-    }
-
-    /// Whether neither another node nor the platform has answered for a while, so that nobody can tell this node which
-    /// upstreams leave.
-    pub(crate) fn hears_nobody(&self) -> bool {
-        let silent_for = self
-            .owner
-            .now()
-            .saturating_sub(self.platform_answered_at.get());
-        silent_for > PEERS_SILENT && self.hears_no_node()
-    }
-
-    /// Counts a call to the platform by its outcome; `has_answered` says whether the platform did what was asked.
-    pub fn note_platform_call(&self, outcome: &'static str, has_answered: bool) {
-        self.metrics.count("platform_calls_total", outcome);
-        if has_answered {
-            self.platform_answered_at.set(self.owner.now());
-            self.note_platform_heard(self.owner.now());
-        }
-    }
-
     /// Notes which node is asked for places, if that changed.
     pub(crate) fn note_owner(&self, owner: Option<&NodeName>) {
         let mut last = self.last_owner.borrow_mut();
--- /dev/null
+++ b/crates/dragonflystep_edge/src/node/hearing.rs
@@ -0,0 +1,89 @@
+//! Of whom a node hears: the platform, other nodes, nobody; and whether it follows the platform itself.
+//!
+//! The loads it answers: hundreds of nodes of which each would ask the platform for each change; a platform that refuses
+//! most nodes and serves the others; nodes that are cut off from all others.
+
+use {
+    super::Node,
+    crate::limits::{
+        FOLLOWERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PLATFORM_UNHEARD, PREFERRED_OWNERS,
+        SMALL_SYSTEM_NODES, UNHEARD_FOLLOWERS_FACTOR,
+    },
+    dragonflystep_dispatch::{MonotonicTime, NodeName},
+    std::time::Duration,
+};
+
+impl Node {
+    /// Whether this node follows the platform's documents itself.
+    ///
+    /// In a large system a few nodes and the owners of services do; the others hear what is new when
+    /// they exchange views with the owners, which saves a call a node for each change. Who has not heard
+    /// another node for a while follows the documents too.
+    pub fn follows_platform(&self) -> bool {
+        let is_small = self.members.listed_count() <= SMALL_SYSTEM_NODES;
+        if is_small || !self.is_ready() || self.hears_no_node() {
+            return true;
+        }
+        // Followers are ranked by name and size, and the platform may refuse all of them while it serves others: 63
+        // nodes heard of no change for 5 s, and sent requests to upstreams that had left 3.3 s before.
+        let followers = if self.platform_silence() > PLATFORM_UNHEARD {
+            PLATFORM_FOLLOWERS * UNHEARD_FOLLOWERS_FACTOR
+        } else {
+            PLATFORM_FOLLOWERS
+        };
+        self.is_among_first(&self.ranked(FOLLOWERS_KEY), followers) || self.is_preferred_owner()
+    }
+
+    /// Whether other nodes hear from this one whether the platform answers: in a large system, where few follow it,
+    /// the preferred owners, with which all exchange views.
+    pub fn tells_platform_heard(&self) -> bool {
+        self.members.listed_count() > SMALL_SYSTEM_NODES && self.is_preferred_owner()
+    }
+
+    fn is_preferred_owner(&self) -> bool {
+        self.is_among_first(&self.ranked_owners(), PREFERRED_OWNERS)
+    }
+
+    fn is_among_first(&self, ranked: &[NodeName], count: usize) -> bool {
+        let mut first = ranked.iter().take(count);
+        first.any(|node| *node == self.settings.node)
+    }
+
+    /// Time since the platform answered this node, or one that told it so.
+    pub(crate) fn platform_silence(&self) -> Duration {
+        self.owner
+            .now()
+            .saturating_sub(self.platform_heard_at.get())
+    }
+
+    /// Notes that the platform answered somebody at a time.
+    pub(crate) fn note_platform_heard(&self, at: MonotonicTime) {
+        self.platform_heard_at
+            .set(self.platform_heard_at.get().max(at));
+    }
+
+    /// Counts a call to the platform by its outcome; `has_answered` says whether the platform did what was asked.
+    pub fn note_platform_call(&self, outcome: &'static str, has_answered: bool) {
+        self.metrics.count("platform_calls_total", outcome);
+        if has_answered {
+            self.platform_answered_at.set(self.owner.now());
+            self.note_platform_heard(self.owner.now());
+        }
+    }
+
+    /// Whether no other node has answered this one for a while.
+    pub fn hears_no_node(&self) -> bool {
+        let silent_for = self.owner.now().saturating_sub(self.exchanged_at.get());
+        self.members.listed_count() > 1 && silent_for > PEERS_SILENT
+    }
+
+    /// Whether neither another node nor the platform has answered for a while, so that nobody can tell this node which
+    /// upstreams leave.
+    pub(crate) fn hears_nobody(&self) -> bool {
+        let silent_for = self
+            .owner
+            .now()
+            .saturating_sub(self.platform_answered_at.get());
+        silent_for > PEERS_SILENT && self.hears_no_node()
+    }
+}
