Weigh what nodes say of others by who is silent, so that a heal costs nothing

Cause: a node that called another one told it which nodes do not answer it, and every word was believed for 1.5 s and passed on by the owners. When a cut between 49 and 146 nodes ended, each side held the other for gone, rightly until then; the owner took both words together, saw 43 of 195 nodes where it had seen 146 during the cut, and gave out a minority's quotas for 3.5 s.

Change: a suspicion counts only at nodes that all others call (the first owners, and who owns the services), and only of a node from which this one has heard nothing for 1.2 s: its own calls refute it. All others believe what the owners that they reach say alike. Who becomes such an owner, was paused, hears a first owner again after 1.5 s, or hears three suspects again within 1.5 s, begins anew. Ranks are computed once a list in place of once a request. One log line a change of majority in place of one a change of reach; a counter has the rest.

Ruled out: an answer of the store (the store served all through the heal); slow links (failures end within a second of the heal); failures of one's own (some ten a node, tried again within a second).

--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -4,7 +4,7 @@
     crate::{
         catalogue_fetch::fetch_if_newer,
         limits::{
-            EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, REACH_LOOK,
+            EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, PAUSE_NOTICED, REACH_LOOK,
             SMALL_SYSTEM_NODES,
         },
         node::Node,
@@ -35,7 +35,13 @@
 /// Looks again and again at how much of the system this node sees, for as long as it runs.
 pub(crate) async fn watch_reach(node: Rc<Node>) {
     loop {
+        let looked_at = node.owner.now();
         sleep(REACH_LOOK).await;
+        let now = node.owner.now();
+        if now.saturating_sub(looked_at) > REACH_LOOK + PAUSE_NOTICED {
+            log::warn!(paused_ms = (now - looked_at).as_millis() as u64; "this node did not run for a while");
+            node.members.resumed(now);
+        }
         node.update_reach();
     }
 }
@@ -68,7 +74,7 @@
 fn partners(node: &Rc<Node>) -> Vec<NodeName> {
     let mut partners = node.members.direct_partners();
     if node.members.listed_count() > SMALL_SYSTEM_NODES {
-        partners.extend(node.ranked_owners().into_iter().take(1));
+        partners.extend(node.ranked_owners(1));
         // Who failed once and is no neighbour would otherwise count as gone for good.
         let failed = node.members.failed_nodes().into_iter();
         partners.extend(failed.take(MOST_FAILED_RETRIED));
@@ -99,11 +105,13 @@
     let asked_at = node.owner.now();
     match link.exchange(&digest, EXCHANGE_TIMEOUT).await {
         Ok(theirs) => {
-            node.members.answered(&peer, theirs.is_leaving);
+            let now = node.owner.now();
+            let is_owner = node.is_owner_for_all(&peer);
+            node.members.answered(now, &peer, theirs.is_leaving);
             // Counted from the call on: what is on the way does not grow younger from node to node.
             node.note_platform_heard(asked_at.saturating_sub(theirs.platform_heard));
             node.note_exchange();
-            node.exchanged(&theirs, false);
+            node.answered_by(&theirs, is_owner);
             fetch_if_newer(&node, &theirs);
             if node.knows_more_than(&theirs) {
                 tell_more(&node, &peer, &link, &theirs).await;
@@ -111,7 +119,7 @@
         }
         Err(error) => {
             node.metrics.count("peer_failures_total", "exchange");
-            node.members.failed(&peer, &error);
+            node.members.failed(node.owner.now(), &peer, &error);
         }
     }
 }
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -32,6 +32,7 @@
 mod settings;
 mod settings_file;
 mod stop;
+mod suspicion;
 mod upstream_connections;
 mod upstream_health;
 mod versioned_list;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -42,8 +42,25 @@
 /// Neighbours that a node of a large system checks.
 pub(crate) const LARGE_SYSTEM_NEIGHBOURS: usize = 4;
 
-/// How long a node counts as unavailable after another one said so; longer than two exchanges.
-pub(crate) const TOLD_UNAVAILABLE: Duration = Duration::from_millis(1_500);
+/// How long a node counts as unavailable after others said so; longer than two exchanges.
+pub(crate) const SUSPICION_HOLDS: Duration = Duration::from_millis(1_500);
+
+/// Silence of a node towards an owner from which on what others say of it counts; longer than the longest time between
+/// two exchanges (0.96 s), so that a node which runs has called meanwhile.
+pub(crate) const SUSPECT_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Time in which nodes that called another owner find out that it is gone and call the next one: an exchange of views.
+pub(crate) const NEW_OWNER_CALLED: Duration = Duration::from_millis(1_000);
+
+/// Suspects that are heard again within [`SUSPICION_HOLDS`] by which an owner sees that a cut has ended; more than the nodes
+/// that restart together on a usual day.
+pub(crate) const REFUTED_BY_A_HEAL: usize = 3;
+
+/// Who was not answered by a first owner for this long was cut off, and what it believes of others is of that time.
+pub(crate) const CUT_OFF_FROM_OWNER: Duration = Duration::from_millis(1_500);
+
+/// Lateness of a timer by which a node sees that it was paused; a busy machine is late by less.
+pub(crate) const PAUSE_NOTICED: Duration = Duration::from_millis(500);
 
 /// While a request waits at an owner that has been silent this long, the owner is asked for a sign.
 pub(crate) const OWNER_SILENCE: Duration = Duration::from_millis(80);
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -6,10 +6,11 @@
 use {
     crate::{
         limits::{
-            LARGE_SYSTEM_NEIGHBOURS, OWNER_WEIGHT_POWER, OWNERS_KEY, PREFERRED_OWNERS,
-            SMALL_SYSTEM_NODES, TOLD_UNAVAILABLE,
+            CUT_OFF_FROM_OWNER, LARGE_SYSTEM_NEIGHBOURS, OWNER_WEIGHT_POWER, OWNERS_KEY,
+            PREFERRED_OWNERS, SMALL_SYSTEM_NODES,
         },
         settings::MemberRecord,
+        suspicion::Suspicions,
         versioned_list::{Changes, ListEntry, VersionedList},
     },
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
@@ -27,7 +28,8 @@
 struct Other {
     record: MemberRecord,
     link: Rc<PeerLink>,
-    has_failed: bool,
+    /// Since when it has not answered; none if it did when it was called last.
+    failed_since: Option<MonotonicTime>,
     /// Whether it answered or failed since this node started.
     is_tried: bool,
     /// Whether its machine said that no process listens there; such a node runs nothing.
@@ -35,8 +37,6 @@
     is_leaving: bool,
     /// Whether it said that this node is unavailable to it.
     misses_us: bool,
-    /// Until when it counts as unavailable because others said so.
-    told_unavailable_until: MonotonicTime,
 }
 
 impl ListEntry for MemberRecord {
@@ -52,8 +52,9 @@
     /// The list of nodes, of which `others` is made.
     list: RefCell<VersionedList<MemberRecord>>,
     others: RefCell<BTreeMap<NodeName, Other>>,
-    /// What other nodes told of nodes that are unavailable, with the time.
-    told: RefCell<HashMap<NodeName, MonotonicTime>>,
+    /// All listed nodes by rank, for each key; ranked again when the list changes.
+    rankings: RefCell<HashMap<&'static str, Rc<[NodeName]>>>,
+    suspicions: RefCell<Suspicions>,
     list_known: Notify,
     has_looked_around: Cell<bool>,
 }
@@ -65,7 +66,8 @@
             network,
             list: RefCell::default(),
             others: RefCell::default(),
-            told: RefCell::default(),
+            rankings: RefCell::default(),
+            suspicions: RefCell::default(),
             list_known: Notify::new(),
             has_looked_around: Cell::new(false),
         }
@@ -136,6 +138,9 @@
             };
             others.insert(record.node.clone(), other);
         }
+        self.rankings.borrow_mut().clear();
+        let mut suspicions = self.suspicions.borrow_mut();
+        suspicions.keep_only(|node| others.contains_key(node));
     }
 
     /// Nodes that are listed, this one included.
@@ -155,9 +160,10 @@
     /// that go by another owner; both gave out an account's whole quota.
     pub(crate) fn mutual_count(&self, now: MonotonicTime) -> usize {
         let others = self.others.borrow();
+        let suspicions = self.suspicions.borrow();
         let mutual = others
             .values()
-            .filter(|other| other.is_visible(now) && !other.misses_us);
+            .filter(|other| other.is_visible(&suspicions, now) && !other.misses_us);
         mutual.count() + 1
     }
 
@@ -194,32 +200,52 @@
         Some(PeerLink::over(self.network.clone(), address))
     }
 
-    /// Nodes by rank for `key`; nodes that are not seen or are leaving have no rank.
-    pub(crate) fn ranked(&self, now: MonotonicTime, key: &str, is_leaving: bool) -> Vec<NodeName> {
-        let mut candidates: Vec<Member> = self
-            .others
-            .borrow()
-            .values()
-            .filter(|other| other.is_visible(now) && !other.is_leaving)
-            .map(|other| member(&other.record))
+    /// The first `most` nodes by rank for `key`; nodes that are not seen or are leaving have no rank.
+    pub(crate) fn ranked(
+        &self,
+        now: MonotonicTime,
+        key: &'static str,
+        is_leaving: bool,
+        most: usize,
+    ) -> Vec<NodeName> {
+        let others = self.others.borrow();
+        let suspicions = self.suspicions.borrow();
+        let is_candidate = |node: &&NodeName| match others.get(&**node) {
+            Some(other) => other.is_visible(&suspicions, now) && !other.is_leaving,
+            None => !is_leaving,
+        };
+        let ranking = self.ranking(key);
+        let ranked: Vec<NodeName> = ranking
+            .iter()
+            .filter(is_candidate)
+            .take(most)
+            .cloned()
             .collect();
-        if !is_leaving || candidates.is_empty() {
-            candidates.push(member(&self.own));
+        if ranked.is_empty() {
+            return vec![self.own.node.clone()];
         }
-        rank_owners(key, &candidates)
+        ranked
     }
 
-    /// Nodes by rank for `key` if all were seen.
-    pub(crate) fn preferred(&self, key: &str) -> Vec<NodeName> {
-        let mut candidates: Vec<Member> = self
-            .others
-            .borrow()
-            .values()
-            .filter(|other| !other.is_leaving)
-            .map(|other| member(&other.record))
-            .collect();
-        candidates.push(member(&self.own));
-        rank_owners(key, &candidates)
+    /// Nodes that own the services if all are there.
+    pub(crate) fn first_owners(&self) -> Vec<NodeName> {
+        let others = self.others.borrow();
+        let is_leaving = |node: &str| others.get(node).is_some_and(|other| other.is_leaving);
+        let ranking = self.ranking(OWNERS_KEY);
+        let staying = ranking.iter().filter(|node| !is_leaving(node));
+        staying.take(PREFERRED_OWNERS).cloned().collect()
+    }
+
+    /// All listed nodes by rank for `key`, this one included.
+    fn ranking(&self, key: &'static str) -> Rc<[NodeName]> {
+        let mut rankings = self.rankings.borrow_mut();
+        let ranking = rankings.entry(key).or_insert_with(|| {
+            let others = self.others.borrow();
+            let records = others.values().map(|other| &other.record);
+            let members: Vec<Member> = records.chain([&self.own]).map(member).collect();
+            rank_owners(key, &members).into()
+        });
+        ranking.clone()
     }
 
     /// Addresses for callers of a data centre: the nodes there, and others where fewer than two are seen.
@@ -230,9 +256,10 @@
         is_leaving: bool,
     ) -> Vec<String> {
         let others = self.others.borrow();
+        let suspicions = self.suspicions.borrow();
         let mut records: Vec<&MemberRecord> = others
             .values()
-            .filter(|other| other.is_visible(now) && !other.is_leaving)
+            .filter(|other| other.is_visible(&suspicions, now) && !other.is_leaving)
             .map(|other| &other.record)
             .collect();
         if !is_leaving {
@@ -248,39 +275,53 @@
     }
 
     /// Notes that a node answered.
-    pub(crate) fn answered(&self, node: &str, is_leaving: bool) {
-        if let Some(other) = self.others.borrow_mut().get_mut(node) {
-            if other.has_failed {
-                log::info!(peer = node; "node is reachable again");
-            }
-            other.has_failed = false;
-            other.is_tried = true;
-            other.is_down = false;
-            other.is_leaving = is_leaving;
-            other.told_unavailable_until = MonotonicTime::ZERO;
+    pub(crate) fn answered(&self, now: MonotonicTime, node: &str, is_leaving: bool) {
+        let mut others = self.others.borrow_mut();
+        let Some(other) = others.get_mut(node) else {
+            return;
+        };
+        let failed_since = other.failed_since.take();
+        other.is_tried = true;
+        other.is_down = false;
+        other.is_leaving = is_leaving;
+        drop(others);
+        self.suspicions.borrow_mut().heard(now, node);
+        let Some(since) = failed_since else {
+            return;
+        };
+        log::info!(peer = node; "node is reachable again");
+        let was_cut_off = now.saturating_sub(since) >= CUT_OFF_FROM_OWNER;
+        if was_cut_off && self.first_owners().iter().any(|owner| **owner == *node) {
+            log::info!(peer = node; "this node was cut off from a first owner");
+            self.forget_failures(now);
         }
     }
 
     /// Notes that a node did not answer.
-    pub(crate) fn failed(&self, node: &str, error: &PeerError) {
+    pub(crate) fn failed(&self, now: MonotonicTime, node: &str, error: &PeerError) {
         if let Some(other) = self.others.borrow_mut().get_mut(node) {
-            if !other.has_failed {
+            if other.failed_since.is_none() {
                 log::warn!(peer = node, reason:% = error; "node does not answer");
+                other.failed_since = Some(now);
             }
-            other.has_failed = true;
             other.is_tried = true;
             other.is_down = error.is_refused();
             other.link.reset();
         }
     }
 
+    /// Notes that this node did not run for a while.
+    pub(crate) fn resumed(&self, now: MonotonicTime) {
+        self.suspicions.borrow_mut().begin_anew(now);
+    }
+
     /// Takes all nodes for reachable until they are tried again: those that failed while this node was cut off may be
     /// well, and trying them one after the other took longer than the cut.
-    pub(crate) fn forget_failures(&self) {
+    pub(crate) fn forget_failures(&self, now: MonotonicTime) {
         for other in self.others.borrow_mut().values_mut() {
-            other.has_failed = false;
-            other.told_unavailable_until = MonotonicTime::ZERO;
+            other.failed_since = None;
         }
+        self.suspicions.borrow_mut().begin_anew(now);
     }
 
     /// Notes whether a node said that it is stopping.
@@ -300,17 +341,17 @@
     /// Whether a node did not answer this one when it was called last.
     pub(crate) fn has_failed(&self, node: &str) -> bool {
         let others = self.others.borrow();
-        others.get(node).is_some_and(|other| other.has_failed)
+        others.get(node).is_some_and(Other::has_failed)
     }
 
     /// Nodes that do not answer this one.
     pub(crate) fn failed_nodes(&self) -> Vec<NodeName> {
-        self.nodes_where(|other| other.has_failed)
+        self.nodes_where(Other::has_failed)
     }
 
     /// Nodes that do not answer this one, or told it that they are stopping.
     pub(crate) fn own_unavailable(&self) -> Vec<NodeName> {
-        self.nodes_where(|other| other.has_failed || other.is_leaving)
+        self.nodes_where(|other| other.has_failed() || other.is_leaving)
     }
 
     fn nodes_where(&self, is_meant: impl Fn(&Other) -> bool) -> Vec<NodeName> {
@@ -319,42 +360,44 @@
         meant.map(|(node, _)| node.clone()).collect()
     }
 
-    /// Takes in what a calling node says of unavailable nodes; kept to be passed on.
-    pub(crate) fn told_by_caller(&self, now: MonotonicTime, nodes: &[NodeName]) {
-        let mut told = self.told.borrow_mut();
-        for node in nodes {
-            told.insert(node.clone(), now);
+    /// Notes that a node called.
+    pub(crate) fn heard(&self, now: MonotonicTime, node: &str) {
+        self.suspicions.borrow_mut().heard(now, node);
+    }
+
+    /// Takes in which nodes do not answer a calling node; counts where all nodes call this one.
+    pub(crate) fn accused(&self, now: MonotonicTime, nodes: &[NodeName], is_called_by_all: bool) {
+        let mut suspicions = self.suspicions.borrow_mut();
+        suspicions.set_called_by_all(now, is_called_by_all);
+        if is_called_by_all {
+            suspicions.accused(now, &self.hearsay(nodes));
         }
-        drop(told);
-        self.told(now, nodes);
     }
 
-    /// Takes in what an asked node says; not passed on, so that it does not go on circulating.
-    pub(crate) fn told(&self, now: MonotonicTime, nodes: &[NodeName]) {
+    /// Takes in which nodes an owner takes for gone; not passed on, so that it does not go on circulating.
+    pub(crate) fn told_by_owner(&self, now: MonotonicTime, owner: &NodeName, nodes: &[NodeName]) {
+        let mut suspicions = self.suspicions.borrow_mut();
+        suspicions.told_by_owner(now, owner, &self.hearsay(nodes));
+    }
+
+    /// Those of some nodes on which this one goes by the word of others.
+    ///
+    /// What this node sees itself goes before what others say: after a start of all nodes some have called the owner
+    /// too early, and their word would split the services between two owners.
+    fn hearsay(&self, nodes: &[NodeName]) -> Vec<NodeName> {
         // With few nodes each one tries all others itself.
         if nodes.is_empty() || self.listed_count() <= SMALL_SYSTEM_NODES {
-            return;
+            return Vec::new();
         }
-        // What this node sees itself goes before what others say. After a start of all nodes two of them
-        // had called the owner too early, and their word split the services between two owners for 3 s.
         let seen_directly = self.direct_partners();
-        let mut others = self.others.borrow_mut();
-        for node in nodes {
-            if seen_directly.contains(node) {
-                continue;
-            }
-            if let Some(other) = others.get_mut(node) {
-                other.told_unavailable_until = now + TOLD_UNAVAILABLE;
-            }
-        }
+        let hearsay = nodes.iter().filter(|node| !seen_directly.contains(node));
+        hearsay.cloned().collect()
     }
 
-    /// Nodes that are unavailable to this one or those who call it.
+    /// Nodes that do not answer this one, or are taken for gone by what its callers say.
     pub(crate) fn all_unavailable(&self, now: MonotonicTime) -> Vec<NodeName> {
-        let mut told = self.told.borrow_mut();
-        told.retain(|_, at| now.saturating_sub(*at) < TOLD_UNAVAILABLE);
         let mut nodes = self.own_unavailable();
-        nodes.extend(told.keys().cloned());
+        nodes.extend(self.suspicions.borrow_mut().suspects(now));
         nodes.sort();
         nodes.dedup();
         nodes
@@ -365,8 +408,7 @@
     pub(crate) fn direct_partners(&self) -> Vec<NodeName> {
         let mut partners = self.neighbours();
         if self.listed_count() > SMALL_SYSTEM_NODES {
-            let preferred = self.preferred(OWNERS_KEY);
-            partners.extend(preferred.into_iter().take(PREFERRED_OWNERS));
+            partners.extend(self.first_owners());
         }
         partners
     }
@@ -389,17 +431,20 @@
         Self {
             link: Rc::new(PeerLink::over(network, record.peers.clone())),
             record,
-            has_failed: false,
+            failed_since: None,
             is_tried: false,
             is_down: false,
             is_leaving: false,
             misses_us: false,
-            told_unavailable_until: MonotonicTime::ZERO,
         }
     }
 
-    fn is_visible(&self, now: MonotonicTime) -> bool {
-        !self.has_failed && now >= self.told_unavailable_until
+    fn has_failed(&self) -> bool {
+        self.failed_since.is_some()
+    }
+
+    fn is_visible(&self, suspicions: &Suspicions, now: MonotonicTime) -> bool {
+        !self.has_failed() && !suspicions.is_suspected(now, &self.record.node)
     }
 }
 
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -160,6 +160,11 @@
         self.views.catalogue_version()
     }
 
+    /// How much of the system this node sees.
+    pub fn reach(&self) -> Reach {
+        self.owner.reach()
+    }
+
     /// Whether this node sees most of the nodes that may be running.
     pub fn sees_majority(&self) -> bool {
         self.owner.reach().is_majority()
@@ -287,17 +292,18 @@
         (self.incarnation << 32) | u64::from(number)
     }
 
-    /// Nodes in the order in which they own the services.
+    /// The first `most` nodes in the order in which they own the services.
     ///
     /// All services have the same owner: accounts pay for the requests of all of them from one quota, and
     /// two owners that count apart give out more than the quota.
-    pub(crate) fn ranked_owners(&self) -> Vec<NodeName> {
-        self.ranked(OWNERS_KEY)
+    pub(crate) fn ranked_owners(&self, most: usize) -> Vec<NodeName> {
+        self.ranked(OWNERS_KEY, most)
     }
 
-    fn ranked(&self, key: &str) -> Vec<NodeName> {
+    fn ranked(&self, key: &'static str, most: usize) -> Vec<NodeName> {
         let now = self.owner.now();
-        self.members.ranked(now, key, self.stop.is_stopping())
+        let is_leaving = self.stop.is_stopping();
+        self.members.ranked(now, key, is_leaving, most)
     }
 
     /// Tells the owner's side how many of the nodes are seen.
@@ -312,7 +318,14 @@
         } else {
             1
         };
-        self.owner.set_reach(Reach { visible, known });
+        if let Some(before) = self.owner.set_reach(Reach { visible, known }) {
+            let change = if visible < before.visible {
+                "fewer"
+            } else {
+                "more"
+            };
+            self.metrics.count("reach_changes_total", change);
+        }
     }
 
     /// Figures of the moment for the metrics page.
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -47,19 +47,33 @@
     pub(crate) fn note_exchange(&self) {
         if self.hears_no_node() {
             log::info!("another node answers again after all were silent");
-            self.members.forget_failures();
+            self.members.forget_failures(self.owner.now());
         }
         self.exchanged_at.set(self.owner.now());
     }
 
-    /// Takes in what another node told.
-    pub(crate) fn exchanged(&self, theirs: &Digest, is_caller: bool) {
+    /// Takes in what a calling node told.
+    pub(crate) fn called_by(&self, theirs: &Digest) {
         let now = self.owner.now();
-        if is_caller {
-            self.members.told_by_caller(now, &theirs.unavailable);
-        } else {
-            self.members.told(now, &theirs.unavailable);
+        self.members.heard(now, &theirs.node);
+        let is_called_by_all = self.is_called_by_all();
+        self.members
+            .accused(now, &theirs.unavailable, is_called_by_all);
+        self.take_in(theirs);
+    }
+
+    /// Takes in what a node told that was called; `is_owner` says whether all nodes call it.
+    pub(crate) fn answered_by(&self, theirs: &Digest, is_owner: bool) {
+        // Who is called by all weighs what callers say itself.
+        if is_owner && !self.is_called_by_all() {
+            let now = self.owner.now();
+            let (owner, nodes) = (&theirs.node, &theirs.unavailable);
+            self.members.told_by_owner(now, owner, nodes);
         }
+        self.take_in(theirs);
+    }
+
+    fn take_in(&self, theirs: &Digest) {
         self.members.set_leaving(&theirs.node, theirs.is_leaving);
         self.members
             .set_misses_us(&theirs.node, &theirs.unavailable);
--- a/crates/dragonflystep_edge/src/node/hearing.rs
+++ b/crates/dragonflystep_edge/src/node/hearing.rs
@@ -6,8 +6,8 @@
 use {
     super::Node,
     crate::limits::{
-        FOLLOWERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PLATFORM_UNHEARD, PREFERRED_OWNERS,
-        SMALL_SYSTEM_NODES, UNHEARD_FOLLOWERS_FACTOR,
+        FOLLOWERS_KEY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PLATFORM_UNHEARD,
+        PREFERRED_OWNERS, SMALL_SYSTEM_NODES, UNHEARD_FOLLOWERS_FACTOR,
     },
     dragonflystep_dispatch::{MonotonicTime, NodeName},
     std::time::Duration,
@@ -31,7 +31,7 @@
         } else {
             PLATFORM_FOLLOWERS
         };
-        self.is_among_first(&self.ranked(FOLLOWERS_KEY), followers) || self.is_preferred_owner()
+        self.is_among_first(FOLLOWERS_KEY, followers) || self.is_preferred_owner()
     }
 
     /// Whether other nodes hear from this one whether the platform answers: in a large system, where few follow it,
@@ -40,13 +40,28 @@
         self.members.listed_count() > SMALL_SYSTEM_NODES && self.is_preferred_owner()
     }
 
+    /// Nodes that own the services if all are there, with which each node of a large system exchanges views.
+    pub fn first_owners(&self) -> Vec<NodeName> {
+        self.members.first_owners()
+    }
+
     fn is_preferred_owner(&self) -> bool {
-        self.is_among_first(&self.ranked_owners(), PREFERRED_OWNERS)
+        self.is_among_first(OWNERS_KEY, PREFERRED_OWNERS)
+    }
+
+    fn is_among_first(&self, key: &'static str, count: usize) -> bool {
+        let first = self.ranked(key, count);
+        first.contains(&self.settings.node)
+    }
+
+    /// Whether all nodes call this one, as far as it sees: the first owners, and who owns the services now.
+    pub(crate) fn is_called_by_all(&self) -> bool {
+        self.is_owner_for_all(&self.settings.node)
     }
 
-    fn is_among_first(&self, ranked: &[NodeName], count: usize) -> bool {
-        let mut first = ranked.iter().take(count);
-        first.any(|node| *node == self.settings.node)
+    /// Whether all nodes call another one, as far as this one sees.
+    pub(crate) fn is_owner_for_all(&self, node: &NodeName) -> bool {
+        self.members.first_owners().contains(node) || self.ranked_owners(1).contains(node)
     }
 
     /// Time since the platform answered this node, or one that told it so.
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -68,12 +68,20 @@
         self.reach.get()
     }
 
-    /// Notes how much of the system this node sees, if that changed.
-    pub(crate) fn set_reach(&self, reach: Reach) {
-        if self.reach.replace(reach) != reach {
-            log::info!(visible = reach.visible, known = reach.known, is_majority = reach.is_majority(); "reach changed");
-            self.apply(Event::ReachChanged(reach));
+    /// Notes how much of the system this node sees; says what it saw before if that changed.
+    ///
+    /// A line is logged where it comes to see most of the nodes, or no longer does: when a cut between hundreds of nodes
+    /// ends, each of them sees another number of them several times a second.
+    pub(crate) fn set_reach(&self, reach: Reach) -> Option<Reach> {
+        let before = self.reach.replace(reach);
+        if before == reach {
+            return None;
         }
+        if before.is_majority() != reach.is_majority() {
+            log::info!(visible = reach.visible, known = reach.known, is_majority = reach.is_majority(); "majority changed");
+        }
+        self.apply(Event::ReachChanged(reach));
+        Some(before)
     }
 
     /// Asks for a place and waits for the verdict; dropping the future withdraws the request.
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -83,7 +83,7 @@
     }
 
     fn exchange(&self, digest: Digest) -> Digest {
-        self.node.exchanged(&digest, true);
+        self.node.called_by(&digest);
         fetch_if_newer(&self.node, &digest);
         if self.node.members.has_failed(&digest.node) {
             // It runs; whether it can be called is tried at once, so that both see each other again.
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -195,7 +195,7 @@
 ) -> Result<Place, dragonflystep_dispatch::Refusal> {
     let started = Instant::now();
     let (objective_left, time_left) = (ask.objective_left, ask.time_left);
-    let ranked = node.ranked_owners();
+    let ranked = node.ranked_owners(MOST_OWNERS_ASKED + 1);
     node.note_owner(ranked.first());
     let mut asked = 0;
     for owner in ranked {
@@ -210,7 +210,7 @@
         ask.time_left = time_left.saturating_sub(started.elapsed());
         match ask_owner(node, &owner, &link, &ask).await {
             Ok(verdict) => return place(node, ask, (owner, link.generation()), verdict),
-            Err(error) => node.members.failed(&owner, &error),
+            Err(error) => node.members.failed(node.owner.now(), &owner, &error),
         }
     }
     ask.objective_left = objective_left.saturating_sub(started.elapsed());
--- /dev/null
+++ b/crates/dragonflystep_edge/src/suspicion.rs
@@ -0,0 +1,134 @@
+//! Whose word counts on nodes that do not answer, as in gossip membership with suspicion and refutation.
+//!
+//! The load it answers: a cut between hundreds of nodes ends. Each side holds the other for gone and says so; believed as
+//! it comes, the word of both sides together leaves nobody. So a suspicion counts only where the suspect itself is silent:
+//! all nodes call the first owners several times a second, and such a call refutes whatever others say of the caller. All
+//! others believe what the owners that they reach say alike.
+
+use {
+    crate::limits::{NEW_OWNER_CALLED, REFUTED_BY_A_HEAL, SUSPECT_SILENCE, SUSPICION_HOLDS},
+    dragonflystep_dispatch::{MonotonicTime, NodeName},
+    std::collections::{HashMap, HashSet},
+};
+
+/// What an owner of services said last of nodes that take no requests.
+#[derive(Debug)]
+struct OwnerWord {
+    at: MonotonicTime,
+    unavailable: HashSet<NodeName>,
+}
+
+/// Nodes that this one takes for gone by the word of others.
+#[derive(Debug, Default)]
+pub(crate) struct Suspicions {
+    /// Whether all nodes call this one.
+    is_called_by_all: bool,
+    /// Since when it hears all that run: since they call it, or the end of a pause.
+    listens_since: MonotonicTime,
+    heard_at: HashMap<NodeName, MonotonicTime>,
+    /// By what callers say, weighed against what this node heard itself.
+    suspected_until: HashMap<NodeName, MonotonicTime>,
+    owner_words: HashMap<NodeName, OwnerWord>,
+    /// Nodes of which all owners say the same.
+    agreed: HashSet<NodeName>,
+    agreed_until: MonotonicTime,
+    /// Suspicions that were refuted lately, and since when they are counted.
+    refuted: usize,
+    refuted_since: MonotonicTime,
+}
+
+impl Suspicions {
+    /// Notes that a node called this one, which refutes what others say of it.
+    pub(crate) fn heard(&mut self, now: MonotonicTime, node: &str) {
+        if self.suspected_until.remove(node).is_some() {
+            self.refuted(now);
+        }
+        match self.heard_at.get_mut(node) {
+            Some(at) => *at = now,
+            None => {
+                self.heard_at.insert(node.into(), now);
+            }
+        }
+    }
+
+    /// Where several suspects are heard again, a cut has ended, and what is still believed of others is of its time.
+    fn refuted(&mut self, now: MonotonicTime) {
+        if now.saturating_sub(self.refuted_since) > SUSPICION_HOLDS {
+            self.refuted = 0;
+            self.refuted_since = now;
+        }
+        self.refuted += 1;
+        if self.refuted == REFUTED_BY_A_HEAL {
+            self.begin_anew(now + NEW_OWNER_CALLED);
+        }
+    }
+
+    /// Forgets what was believed of others: this node did not run for a while, or was cut off.
+    pub(crate) fn begin_anew(&mut self, now: MonotonicTime) {
+        self.listens_since = now;
+        self.suspected_until.clear();
+        self.owner_words.clear();
+        self.agreed.clear();
+    }
+
+    /// Notes whether all nodes call this one; who was not called before knows nothing of those that are silent.
+    pub(crate) fn set_called_by_all(&mut self, now: MonotonicTime, is_called_by_all: bool) {
+        if is_called_by_all && !self.is_called_by_all {
+            self.begin_anew(now + NEW_OWNER_CALLED);
+        }
+        self.is_called_by_all = is_called_by_all;
+    }
+
+    /// Takes in which nodes do not answer a caller; counts where this node hears nothing of them either.
+    pub(crate) fn accused(&mut self, now: MonotonicTime, nodes: &[NodeName]) {
+        for node in nodes {
+            let heard_at = self.heard_at.get(node).copied().unwrap_or_default();
+            let silent_for = now.saturating_sub(heard_at.max(self.listens_since));
+            if silent_for >= SUSPECT_SILENCE {
+                let until = now + SUSPICION_HOLDS;
+                self.suspected_until.insert(node.clone(), until);
+            }
+        }
+    }
+
+    /// Takes in which nodes an owner takes for gone; counts where all owners that were heard lately say so.
+    ///
+    /// After a cut the owners of both sides are heard for a moment, and each is wrong of the other side.
+    pub(crate) fn told_by_owner(
+        &mut self,
+        now: MonotonicTime,
+        owner: &NodeName,
+        nodes: &[NodeName],
+    ) {
+        let word = OwnerWord {
+            at: now,
+            unavailable: nodes.iter().cloned().collect(),
+        };
+        self.owner_words.insert(owner.clone(), word);
+        self.owner_words
+            .retain(|_, word| now.saturating_sub(word.at) < SUSPICION_HOLDS);
+        let words = || self.owner_words.values();
+        let all_say = |node: &&NodeName| words().all(|word| word.unavailable.contains(*node));
+        self.agreed = nodes.iter().filter(all_say).cloned().collect();
+        self.agreed_until = now + SUSPICION_HOLDS;
+    }
+
+    /// Whether a node is taken for gone by the word of others.
+    pub(crate) fn is_suspected(&self, now: MonotonicTime, node: &str) -> bool {
+        let until = self.suspected_until.get(node);
+        until.is_some_and(|until| now < *until)
+            || now < self.agreed_until && self.agreed.contains(node)
+    }
+
+    /// Nodes that this one takes for gone by what callers say, to be told those who ask.
+    pub(crate) fn suspects(&mut self, now: MonotonicTime) -> Vec<NodeName> {
+        self.suspected_until.retain(|_, until| now < *until);
+        self.suspected_until.keys().cloned().collect()
+    }
+
+    /// Forgets nodes that are no longer listed.
+    pub(crate) fn keep_only(&mut self, is_listed: impl Fn(&str) -> bool) {
+        self.heard_at.retain(|node, _| is_listed(node));
+        self.suspected_until.retain(|node, _| is_listed(node));
+    }
+}
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -24,7 +24,7 @@
 const BELIEFS: [&str; 5] = [
     "catalogue in force",
     "registry in force",
-    "reach changed",
+    "majority changed",
     "the store does not answer",
     "node does not answer",
 ];
