Fetch the registry and the list of nodes as the catalogue is fetched, once and in pieces

Cause: a node whose registry or list of nodes was older was told all that it lacked inside the exchange of views, uncompressed, by each of the seven or so nodes that it exchanges views with. A node that has just started lacks all: 0.75 MB at 3,000 upstreams, within 350 ms, over links of 10 to 200 Mbit/s, and from the first owners to all nodes at once.

Change: up to 16 changed entries are told within an exchange as before; whoever lacks more fetches it from one node in compressed pieces over a link of its own, by the one mechanism that the catalogue has. Who knows no other node is told the list of nodes whole by those whose neighbour it is.

Ruled out, for the 8.5 s in which 300 nodes serve again after a loss of all: copies of lists (8.5 s before and after), pages of the store that are asked for again by themselves (8.5 s, taken back), minority shares and owners that split (on the site of 195 nodes before 83 upstreams all nodes name one owner 0.3 s after the power is back).

--- a/crates/dragonflystep_edge/src/catalogue_list.rs
+++ b/crates/dragonflystep_edge/src/catalogue_list.rs
@@ -4,29 +4,12 @@
 //! with an eighth of a core and 10 Mbit/s. Each node fetches a change once, from one other node.
 
 use {
-    crate::versioned_list::{Changes, ListEntry},
+    crate::versioned_list::ListEntry,
     dragonflystep_dispatch::{Account, Catalogue, ClientLimits, Route, Service},
     serde::{Deserialize, Serialize},
-    std::{io::Read, sync::Arc},
+    std::sync::Arc,
 };
 
-/// Effort of the compression; the smallest, which shrinks a catalogue about tenfold.
-const COMPRESSION_LEVEL: i32 = 1;
-
-/// Largest catalogue that is taken from another node, in bytes; some 100,000 routes.
-const MOST_CATALOGUE_BYTES: u64 = 64 << 20;
-
-/// Why what another node told of the catalogue can't be used.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum CatalogueChangesError {
-    /// It can't be expanded.
-    #[error("can't be expanded: {0}")]
-    Expand(#[from] std::io::Error),
-    /// It is no list of changes.
-    #[error("is no list of changes: {0}")]
-    Parse(#[from] serde_json::Error),
-}
-
 /// One entry of a catalogue.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct CatalogueEntry {
@@ -92,18 +75,3 @@
     }
     catalogue
 }
-
-/// Changes as they are sent to another node.
-pub(crate) fn encode(changes: &Changes<CatalogueEntry>) -> Result<Vec<u8>, CatalogueChangesError> {
-    let json = serde_json::to_vec(changes)?;
-    Ok(zstd::bulk::compress(&json, COMPRESSION_LEVEL)?)
-}
-
-/// Changes as another node sent them.
-pub(crate) fn decode(bytes: &[u8]) -> Result<Changes<CatalogueEntry>, CatalogueChangesError> {
-    let mut json = Vec::new();
-    zstd::Decoder::new(bytes)?
-        .take(MOST_CATALOGUE_BYTES)
-        .read_to_end(&mut json)?;
-    Ok(serde_json::from_slice(&json)?)
-}
--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        catalogue_fetch::fetch_if_newer,
         limits::{
             EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, PAUSE_NOTICED, REACH_LOOK,
             SMALL_SYSTEM_NODES,
         },
+        list_fetch::fetch_if_newer,
         node::Node,
     },
     dragonflystep_dispatch::NodeName,
@@ -87,7 +87,7 @@
 
 /// Sends what the other node lacks; it may have no other way to learn it.
 async fn tell_more(node: &Rc<Node>, peer: &NodeName, link: &PeerLink, theirs: &Digest) {
-    let digest = node.digest_for(theirs, Vec::new());
+    let digest = node.digest_to_tell(theirs);
     if let Err(error) = link.exchange(&digest, EXCHANGE_TIMEOUT).await {
         log::info!(peer:%, error:%; "a node was not told what it lacks");
     }
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -22,19 +22,22 @@
 /// Time in which a neighbour has to answer an exchange; a slow machine takes several times the usual.
 pub(crate) const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Bytes of the catalogue that a node asks another one for at a time: 55 ms of a link at 3 Mbit/s, so that exchanges
+/// Changed entries of a list that are told within an exchange of views, some 4 KB; what is more is fetched.
+pub(crate) const MOST_TOLD: usize = 16;
+
+/// Bytes of a list that a node asks another one for at a time: 55 ms of a link at 3 Mbit/s, so that exchanges
 /// of views come through in between.
-pub(crate) const CATALOGUE_PIECE_BYTES: usize = 20 << 10;
+pub(crate) const LIST_PIECE_BYTES: usize = 20 << 10;
 
 /// Time in which another node has to send such a piece: twice what 0.5 Mbit/s need.
-pub(crate) const CATALOGUE_PIECE_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const LIST_PIECE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Calls for one piece of the catalogue before another node is tried.
-pub(crate) const CATALOGUE_PIECE_TRIES: u32 = 2;
+/// Calls for one piece of a list before another node is tried.
+pub(crate) const LIST_PIECE_TRIES: u32 = 2;
 
-/// Changes of the catalogue that are kept ready for nodes which fetch them; several versions a second in the worst
+/// Changes of a list that are kept ready for nodes which fetch them; several versions a second in the worst
 /// series of changes, for a fetch that takes about a second.
-pub(crate) const CATALOGUE_ANSWERS_KEPT: usize = 8;
+pub(crate) const LIST_ANSWERS_KEPT: usize = 8;
 
 /// Up to this many nodes exchange views each with each; beyond it with some neighbours and the owners.
 pub(crate) const SMALL_SYSTEM_NODES: usize = 12;
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -16,7 +16,7 @@
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
     dragonflystep_peer::{PeerError, PeerLink, PeerNetwork},
     std::{
-        cell::{Cell, RefCell},
+        cell::{Cell, Ref, RefCell},
         collections::{BTreeMap, HashMap},
         rc::Rc,
         sync::Arc,
@@ -94,14 +94,9 @@
         self.list.borrow().contains(&self.own.node)
     }
 
-    /// The version to tell other nodes.
-    pub(crate) fn told_version(&self) -> u64 {
-        self.list.borrow().told_version()
-    }
-
-    /// What a node lacks that has the list of a version.
-    pub(crate) fn records_since(&self, version: u64) -> Option<Changes<MemberRecord>> {
-        self.list.borrow().changes_since(version)
+    /// The list of nodes.
+    pub(crate) fn list(&self) -> Ref<'_, VersionedList<MemberRecord>> {
+        self.list.borrow()
     }
 
     /// Takes over a whole list of nodes; says whether it is news.
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -5,11 +5,11 @@
 
 use {
     crate::{
-        catalogue_fetch::CatalogueFetches,
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
         exchange::{exchange_views, watch_reach},
         limits::OWNERS_KEY,
+        list_fetch::ListFetches,
         members::Members,
         metrics::Metrics,
         owner::Owner,
@@ -77,7 +77,7 @@
     pub(crate) upstream_health: UpstreamHealth,
     pub(crate) metrics: Metrics,
     pub(crate) views: Views,
-    pub(crate) catalogue_fetches: CatalogueFetches,
+    pub(crate) list_fetches: ListFetches,
     pub(crate) stop: StopSignal,
     /// Settings that a reload may change.
     pub(crate) stop_grace: Cell<Duration>,
@@ -122,7 +122,7 @@
             upstream_health: UpstreamHealth::default(),
             metrics: Metrics::default(),
             views: Views::default(),
-            catalogue_fetches: CatalogueFetches::default(),
+            list_fetches: ListFetches::default(),
             stop: StopSignal::default(),
             stop_grace: Cell::new(settings.stop_grace),
             address_lifetime: Cell::new(settings.address_lifetime),
@@ -165,6 +165,11 @@
         self.owner.reach()
     }
 
+    /// The node that this one asks for places.
+    pub fn owner(&self) -> Option<NodeName> {
+        self.ranked_owners(1).into_iter().next()
+    }
+
     /// Whether this node sees most of the nodes that may be running.
     pub fn sees_majority(&self) -> bool {
         self.owner.reach().is_majority()
@@ -212,7 +217,7 @@
         };
         let catalogue = table.catalogue().clone();
         log::info!(source, version = catalogue.version, before, routes = catalogue.routes.len(); "catalogue in force");
-        self.catalogue_fetches.note_in_force(catalogue.version);
+        self.list_fetches.catalogue.note_in_force(catalogue.version);
         self.owner.apply(Event::CatalogueChanged(catalogue));
     }
 
@@ -340,7 +345,7 @@
             ("catalogue_version", self.views.catalogue_version() as f64),
             (
                 "catalogue_behind_s",
-                self.catalogue_fetches.waits_for(now).as_secs_f64(),
+                self.list_fetches.catalogue.waits_for(now).as_secs_f64(),
             ),
             ("registry_version", self.views.registry().version as f64),
             ("members_known", self.members.known_count() as f64),
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -2,7 +2,10 @@
 
 use {
     super::Node,
-    crate::versioned_list::{Changes, ListEntry},
+    crate::{
+        limits::MOST_TOLD,
+        versioned_list::{Changes, ListEntry},
+    },
     dragonflystep_dispatch::NodeName,
     dragonflystep_peer::Digest,
 };
@@ -12,30 +15,46 @@
     pub(crate) fn empty_digest(&self) -> Digest {
         Digest {
             node: self.settings.node.clone(),
-            catalogue_version: self.views.told_catalogue_version(),
-            registry_version: self.views.told_registry_version(),
+            catalogue_version: self.views.catalogue_list().told_version(),
+            registry_version: self.views.registry_list().told_version(),
             is_leaving: self.stop.is_stopping(),
-            members_version: self.members.told_version(),
+            members_version: self.members.list().told_version(),
             platform_heard: self.platform_silence(),
             ..Digest::default()
         }
     }
 
-    /// What this node knows, with the lists where those of `theirs` are older.
+    /// What this node knows, with the changes of lists that `theirs` lacks where they are few.
     ///
-    /// The catalogue is not among them: a node that lacks a version fetches it, once.
+    /// A node that lacks more fetches it, once: after a start of all nodes each was sent the whole registry by all that it
+    /// exchanged views with, and the links of the owners were full for seconds.
     pub(crate) fn digest_for(&self, theirs: &Digest, unavailable: Vec<NodeName>) -> Digest {
         let mut digest = self.empty_digest();
         digest.unavailable = unavailable;
-        if let Some(changes) = self.views.registry_since(theirs.registry_version) {
+        let registry = self.views.registry_list();
+        if let Some(changes) = registry.few_changes_since(theirs.registry_version, MOST_TOLD) {
             digest.registry = to_json(&changes, "registry");
         }
-        if let Some(changes) = self.members.records_since(theirs.members_version) {
+        let members = self.members.list();
+        if let Some(changes) = members.few_changes_since(theirs.members_version, MOST_TOLD) {
             digest.members = to_json(&changes, "list of nodes");
         }
         digest
     }
 
+    /// What a node lacks that answered `theirs`, to be told it unasked.
+    ///
+    /// Who knows no other node can fetch nothing; those whose neighbour it is tell it of all.
+    pub(crate) fn digest_to_tell(&self, theirs: &Digest) -> Digest {
+        let mut digest = self.digest_for(theirs, Vec::new());
+        if theirs.members_version == 0 && self.members.neighbours().contains(&theirs.node) {
+            let changes = self.members.list().changes_since(0);
+            digest.members =
+                changes.map_or(Vec::new(), |changes| to_json(&changes, "list of nodes"));
+        }
+        digest
+    }
+
     /// Whether a node that answered `theirs` lacks something that this one knows.
     pub(crate) fn knows_more_than(&self, theirs: &Digest) -> bool {
         let own = self.empty_digest();
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -1,15 +1,12 @@
 //! What this node does for another node that connected.
 
 use {
-    crate::{
-        catalogue_fetch::fetch_if_newer, exchange::exchange_with, node::Node, owner::cancelled,
-    },
+    crate::{exchange::exchange_with, list_fetch::fetch_if_newer, node::Node, owner::cancelled},
     dragonflystep_dispatch::{
         Ask, Ended, Event, RunId, RunningRun, ServiceName, SpendingReport, UpstreamLoad, Verdict,
     },
     dragonflystep_peer::{
-        CataloguePiece, CataloguePieceAsk, Digest, PeerHandler, PeerListener, VerdictFuture,
-        serve_peer,
+        Digest, ListPiece, ListPieceAsk, PeerHandler, PeerListener, VerdictFuture, serve_peer,
     },
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
@@ -78,8 +75,8 @@
         self.node.owner.apply(Event::LoadObserved(load));
     }
 
-    fn catalogue_since(&self, ask: CataloguePieceAsk) -> CataloguePiece {
-        self.node.catalogue_piece(ask)
+    fn list_since(&self, ask: ListPieceAsk) -> ListPiece {
+        self.node.list_piece(ask)
     }
 
     fn exchange(&self, digest: Digest) -> Digest {
--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -7,6 +7,7 @@
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         collections::{BTreeMap, HashSet},
+        io::Read,
         sync::Arc,
     },
     xxhash_rust::xxh3::xxh3_64,
@@ -15,6 +16,23 @@
 /// Removed entries that are remembered; who is behind them all gets the whole list.
 const MOST_REMOVED: usize = 1_024;
 
+/// Effort of the compression; the smallest, which shrinks a catalogue about tenfold.
+const COMPRESSION_LEVEL: i32 = 1;
+
+/// Longest list that is taken from another node, in bytes; some 100,000 routes.
+const MOST_LIST_BYTES: u64 = 64 << 20;
+
+/// Why what another node told of a list can't be used.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ChangesError {
+    /// It can't be compressed or expanded.
+    #[error("can't be expanded: {0}")]
+    Expand(#[from] std::io::Error),
+    /// It is no list of changes.
+    #[error("is no list of changes: {0}")]
+    Parse(#[from] serde_json::Error),
+}
+
 /// An entry of a list.
 pub(crate) trait ListEntry: Clone + PartialEq + Serialize + DeserializeOwned {
     /// What tells it from other entries.
@@ -35,6 +53,23 @@
     digest: u64,
 }
 
+impl<T: ListEntry> Changes<T> {
+    /// The form in which they are sent to another node piece by piece.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, ChangesError> {
+        let json = serde_json::to_vec(self)?;
+        Ok(zstd::bulk::compress(&json, COMPRESSION_LEVEL)?)
+    }
+
+    /// Changes as another node sent them.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<Self, ChangesError> {
+        let mut json = Vec::new();
+        zstd::Decoder::new(bytes)?
+            .take(MOST_LIST_BYTES)
+            .read_to_end(&mut json)?;
+        Ok(serde_json::from_slice(&json)?)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Held<T> {
     entry: T,
@@ -141,6 +176,16 @@
         })
     }
 
+    /// What a node lacks that has the list of `their_version`, if that is at most `most` entries.
+    pub(crate) fn few_changes_since(&self, their_version: u64, most: usize) -> Option<Changes<T>> {
+        let is_whole_needed = their_version < self.forgotten;
+        let changed_at = self.held.values().map(|held| held.changed_at);
+        let changed = changed_at.filter(|at| is_whole_needed || *at > their_version);
+        // One more than permitted is enough to know.
+        let is_few = changed.take(most + 1).count() <= most;
+        is_few.then(|| self.changes_since(their_version))?
+    }
+
     /// Takes over what another node told; says whether the list changed.
     ///
     /// When the outcome is not what the other node has, the whole list is asked for at the next exchange.
--- a/crates/dragonflystep_edge/src/views.rs
+++ b/crates/dragonflystep_edge/src/views.rs
@@ -6,7 +6,11 @@
         versioned_list::{Changes, ListEntry, VersionedList},
     },
     dragonflystep_dispatch::{Catalogue, RoutingTable, Upstream},
-    std::{cell::RefCell, rc::Rc, sync::Arc},
+    std::{
+        cell::{Ref, RefCell},
+        rc::Rc,
+        sync::Arc,
+    },
 };
 
 impl ListEntry for Upstream {
@@ -72,20 +76,9 @@
         true
     }
 
-    /// Whether a node that has a version of the catalogue can tell this one something new.
-    pub(crate) fn lacks_catalogue(&self, their_version: u64) -> bool {
-        self.catalogue_list.borrow().lacks(their_version)
-    }
-
-    /// The catalogue's version to tell other nodes.
-    pub(crate) fn told_catalogue_version(&self) -> u64 {
-        self.catalogue_list.borrow().told_version()
-    }
-
-    /// What a node lacks that has the catalogue of a version.
-    pub(crate) fn catalogue_since(&self, version: u64) -> Option<Changes<CatalogueEntry>> {
-        let list = self.catalogue_list.borrow();
-        list.is_whole().then(|| list.changes_since(version))?
+    /// The catalogue as a list of entries.
+    pub(crate) fn catalogue_list(&self) -> Ref<'_, VersionedList<CatalogueEntry>> {
+        self.catalogue_list.borrow()
     }
 
     pub(crate) fn registry(&self) -> RegistryView {
@@ -115,13 +108,8 @@
         is_news
     }
 
-    /// The registry's version to tell other nodes.
-    pub(crate) fn told_registry_version(&self) -> u64 {
-        self.registry_list.borrow().told_version()
-    }
-
-    /// What a node lacks that has the registry of a version.
-    pub(crate) fn registry_since(&self, version: u64) -> Option<Changes<Upstream>> {
-        self.registry_list.borrow().changes_since(version)
+    /// The registry as a list of entries.
+    pub(crate) fn registry_list(&self) -> Ref<'_, VersionedList<Upstream>> {
+        self.registry_list.borrow()
     }
 }
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -61,7 +61,7 @@
 # What accounts spent through an entry within the last window.
 struct SpendingReport { node @0 :Text; coversUs @1 :UInt64; accounts @2 :List(AccountSpending); }
 
-# What a node knows, with versions; lists are sent only to a peer whose version is older.
+# What a node knows, with versions; changes of lists are sent only to a peer whose version is older, and only if they are few.
 struct Digest {
   node @0 :Text;
   catalogueVersion @1 :UInt64;
@@ -85,12 +85,15 @@
   exchange @3 (digest :Digest) -> (digest :Digest);
   loadObserved @4 (load :UpstreamLoad) -> ();
   spent @5 (report :SpendingReport) -> ();
-  # A piece of what a node lacks that has the given version of the catalogue; 0 asks for all of it.
-  catalogueSince @6 (piece :CataloguePieceAsk) -> (piece :CataloguePiece);
+  # A piece of what a node lacks that has the given version of a list; 0 asks for all of it.
+  listSince @6 (piece :ListPieceAsk) -> (piece :ListPiece);
 }
 
+# The lists that nodes pass on to one another.
+enum ListName { catalogue @0; registry @1; members @2; }
+
 # Asks for bytes from an offset on. `leadsTo` is the version to which the pieces so far lead, 0 at first.
-struct CataloguePieceAsk { version @0 :UInt64; leadsTo @1 :UInt64; offset @2 :UInt32; }
+struct ListPieceAsk { version @0 :UInt64; leadsTo @1 :UInt64; offset @2 :UInt32; list @3 :ListName; }
 
 # Bytes of changes that have `totalBytes` in all; none at all when the asking node lacks nothing.
-struct CataloguePiece { leadsTo @0 :UInt64; totalBytes @1 :UInt32; bytes @2 :Data; }
+struct ListPiece { leadsTo @0 :UInt64; totalBytes @1 :UInt32; bytes @2 :Data; }
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        Digest, PeerError,
+        Digest, ListName, ListPiece, ListPieceAsk, PeerError,
         peer_capnp::{
-            self, account_spending, ask, digest, ended, running_run, spending_report,
-            upstream_load, verdict,
+            self, account_spending, ask, digest, ended, list_piece, list_piece_ask, running_run,
+            spending_report, upstream_load, verdict,
         },
         to_us,
     },
@@ -255,6 +255,46 @@
     })
 }
 
+pub(crate) fn encode_list_ask(ask: ListPieceAsk, mut out: list_piece_ask::Builder<'_>) {
+    out.set_list(match ask.list {
+        ListName::Catalogue => peer_capnp::ListName::Catalogue,
+        ListName::Registry => peer_capnp::ListName::Registry,
+        ListName::Members => peer_capnp::ListName::Members,
+    });
+    out.set_version(ask.version);
+    out.set_leads_to(ask.leads_to);
+    out.set_offset(ask.offset_bytes);
+}
+
+pub(crate) fn decode_list_ask(
+    input: list_piece_ask::Reader<'_>,
+) -> Result<ListPieceAsk, PeerError> {
+    Ok(ListPieceAsk {
+        list: match input.get_list()? {
+            peer_capnp::ListName::Catalogue => ListName::Catalogue,
+            peer_capnp::ListName::Registry => ListName::Registry,
+            peer_capnp::ListName::Members => ListName::Members,
+        },
+        version: input.get_version(),
+        leads_to: input.get_leads_to(),
+        offset_bytes: input.get_offset(),
+    })
+}
+
+pub(crate) fn encode_list_piece(piece: &ListPiece, mut out: list_piece::Builder<'_>) {
+    out.set_leads_to(piece.leads_to);
+    out.set_total_bytes(piece.total_bytes);
+    out.set_bytes(&piece.bytes);
+}
+
+pub(crate) fn decode_list_piece(input: list_piece::Reader<'_>) -> Result<ListPiece, PeerError> {
+    Ok(ListPiece {
+        leads_to: input.get_leads_to(),
+        total_bytes: input.get_total_bytes(),
+        bytes: input.get_bytes()?.to_vec(),
+    })
+}
+
 pub(crate) fn encode_digest(digest: &Digest, mut out: digest::Builder<'_>) {
     out.set_node(&*digest.node);
     out.set_catalogue_version(digest.catalogue_version);
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -27,10 +27,24 @@
     std::time::Duration,
 };
 
-/// Asks for a piece of what a node lacks of the catalogue.
+/// A list that nodes pass on to one another.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum ListName {
+    /// Routes, services and accounts.
+    #[default]
+    Catalogue,
+    /// The upstreams.
+    Registry,
+    /// The nodes.
+    Members,
+}
+
+/// Asks for a piece of what a node lacks of a list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CataloguePieceAsk {
-    /// Version that the asking node has; 0 asks for the whole catalogue.
+pub struct ListPieceAsk {
+    /// The list.
+    pub list: ListName,
+    /// Version that the asking node has; 0 asks for the whole list.
     pub version: u64,
     /// Version to which the pieces so far lead; 0 for the first one.
     pub leads_to: u64,
@@ -38,9 +52,9 @@
     pub offset_bytes: u32,
 }
 
-/// A piece of what a node lacks of the catalogue, in the nodes' own form.
+/// A piece of what a node lacks of a list, in the nodes' own form.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CataloguePiece {
+pub struct ListPiece {
     /// Version to which all pieces lead; another one than that asked for means that the pieces start anew.
     pub leads_to: u64,
     /// Bytes of all pieces; 0 when the asking node lacks nothing.
@@ -58,11 +72,11 @@
     pub catalogue_version: u64,
     /// Version of the registry that it follows; 0 is none, or asks for the whole registry.
     pub registry_version: u64,
-    /// Changes of the registry, where the other node's is older.
+    /// Changes of the registry, where the other node's is older and they are few.
     pub registry: Vec<u8>,
     /// Version of the list of nodes that it follows; 0 is none, or asks for the whole list.
     pub members_version: u64,
-    /// Changes of the list of nodes, where the other node's is older.
+    /// Changes of the list of nodes, where the other node's is older and they are few.
     pub members: Vec<u8>,
     /// Nodes that take no requests: they do not answer it, or are about to stop.
     pub unavailable: Vec<NodeName>,
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        CataloguePiece, CataloguePieceAsk, Digest, PeerError, PeerNetwork, TcpNetwork,
+        Digest, ListPiece, ListPieceAsk, PeerError, PeerNetwork, TcpNetwork,
         codec::{
-            decode_digest, decode_verdict, encode_ask, encode_digest, encode_ended, encode_load,
-            encode_running, encode_spending,
+            decode_digest, decode_list_piece, decode_verdict, encode_ask, encode_digest,
+            encode_ended, encode_list_ask, encode_load, encode_running, encode_spending,
         },
         peer_capnp::peer,
         server::network,
@@ -162,29 +162,21 @@
         Ok(())
     }
 
-    /// Asks for a piece of what this node lacks of the catalogue.
+    /// Asks for a piece of what this node lacks of a list.
     ///
     /// # Errors
     /// When the node can't be reached, does not answer in time or the connection breaks.
-    pub async fn catalogue_since(
+    pub async fn list_since(
         &self,
-        ask: CataloguePieceAsk,
+        ask: ListPieceAsk,
         limit: Duration,
-    ) -> Result<CataloguePiece, PeerError> {
+    ) -> Result<ListPiece, PeerError> {
         let call = async {
             let client = self.client().await?;
-            let mut request = client.catalogue_since_request();
-            let mut message = request.get().init_piece();
-            message.set_version(ask.version);
-            message.set_leads_to(ask.leads_to);
-            message.set_offset(ask.offset_bytes);
+            let mut request = client.list_since_request();
+            encode_list_ask(ask, request.get().init_piece());
             let response = self.heard(request.send().promise.await)?;
-            let piece = response.get()?.get_piece()?;
-            Ok(CataloguePiece {
-                leads_to: piece.get_leads_to(),
-                total_bytes: piece.get_total_bytes(),
-                bytes: piece.get_bytes()?.to_vec(),
-            })
+            decode_list_piece(response.get()?.get_piece()?)
         };
         within(limit, call).await
     }
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        CataloguePiece, CataloguePieceAsk, Digest, PeerError, PeerStream,
+        Digest, ListPiece, ListPieceAsk, PeerError, PeerStream,
         codec::{
-            decode_ask, decode_digest, decode_ended, decode_load, decode_running, decode_spending,
-            encode_digest, encode_verdict,
+            decode_ask, decode_digest, decode_ended, decode_list_ask, decode_load, decode_running,
+            decode_spending, encode_digest, encode_list_piece, encode_verdict,
         },
         peer_capnp::peer,
     },
@@ -38,8 +38,8 @@
     /// Tells what an upstream said of its load.
     fn load_observed(&self, load: UpstreamLoad);
 
-    /// A piece of what a node lacks that has a version of the catalogue.
-    fn catalogue_since(&self, ask: CataloguePieceAsk) -> CataloguePiece;
+    /// A piece of what a node lacks that has a version of a list.
+    fn list_since(&self, ask: ListPieceAsk) -> ListPiece;
 
     /// Tells a view and asks for the own one.
     fn exchange(&self, digest: Digest) -> Digest;
@@ -136,21 +136,15 @@
         Promise::ok(())
     }
 
-    fn catalogue_since(
+    fn list_since(
         &mut self,
-        params: peer::CatalogueSinceParams,
-        mut results: peer::CatalogueSinceResults,
+        params: peer::ListSinceParams,
+        mut results: peer::ListSinceResults,
     ) -> Promise<(), capnp::Error> {
         let ask = pry!(pry!(params.get()).get_piece());
-        let piece = self.handler.catalogue_since(CataloguePieceAsk {
-            version: ask.get_version(),
-            leads_to: ask.get_leads_to(),
-            offset_bytes: ask.get_offset(),
-        });
-        let mut result = results.get().init_piece();
-        result.set_leads_to(piece.leads_to);
-        result.set_total_bytes(piece.total_bytes);
-        result.set_bytes(&piece.bytes);
+        let ask = pry!(decode_list_ask(ask).map_err(|error| to_capnp(&error)));
+        let piece = self.handler.list_since(ask);
+        encode_list_piece(&piece, results.get().init_piece());
         Promise::ok(())
     }
 
