--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -46,6 +46,7 @@
     logs::{LogBuffer, LogError, start_log},
     metrics::Metrics,
     node::{Node, NodeError, run_node},
+    placing::{Place, RunFigures, obtain as obtain_place},
     platform::{Platform, PlatformFuture},
     settings::{MemberRecord, NodeSettings},
     settings_file::{SettingsError, read_settings},
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -291,7 +291,8 @@
             && !self.stop.is_stopping()
     }
 
-    pub(crate) fn next_run(&self) -> RunId {
+    /// An id that no other run of this start of the node has.
+    pub fn next_run(&self) -> RunId {
         let number = self.runs_started.get().wrapping_add(1);
         self.runs_started.set(number);
         (self.incarnation << 32) | u64::from(number)
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -11,13 +11,11 @@
         SpendingLedger, SpendingReport, UpstreamLoad, Verdict,
     },
     dragonflystep_peer::{PeerError, PeerLink},
-    std::{
-        cell::RefCell,
-        collections::HashMap,
-        rc::Rc,
-        time::{Duration, Instant},
+    std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{Instant, sleep},
     },
-    tokio::{task::spawn_local, time::sleep},
 };
 
 /// A run of this entry.
@@ -101,23 +99,28 @@
     }
 }
 
-/// A place that was given, until its run's end is told.
-pub(crate) struct Place {
+/// A place at an upstream that was given to a request, until its run's end is told.
+///
+/// Dropped before, it tells the owner that the run was cancelled.
+pub struct Place {
     node: Rc<Node>,
     run: RunId,
     service: dragonflystep_dispatch::ServiceName,
     started: Instant,
     is_ended: bool,
     /// Where the request goes.
-    pub(crate) grant: Grant,
+    pub grant: Grant,
 }
 
 /// What a run showed of its upstream.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct RunFigures {
-    pub(crate) to_first_event: Option<Duration>,
-    pub(crate) events: u32,
-    pub(crate) longest_pause: Duration,
+pub struct RunFigures {
+    /// Time from the place to the first event; none for a plain call.
+    pub to_first_event: Option<Duration>,
+    /// Events of the stream.
+    pub events: u32,
+    /// Longest pause between two of them.
+    pub longest_pause: Duration,
 }
 
 impl Place {
@@ -153,7 +156,7 @@
     }
 
     /// Tells the owner how the run ended.
-    pub(crate) fn end(mut self, outcome: RunOutcome, figures: RunFigures) {
+    pub fn end(mut self, outcome: RunOutcome, figures: RunFigures) {
         self.tell(outcome, figures);
     }
 
@@ -189,7 +192,10 @@
 }
 
 /// Asks the owner of the service for a place, or the next one by rank if it does not answer.
-pub(crate) async fn obtain(
+///
+/// # Errors
+/// When the owner refuses the request; it has not run.
+pub async fn obtain(
     node: &Rc<Node>,
     mut ask: Ask,
 ) -> Result<Place, dragonflystep_dispatch::Refusal> {
