--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -1,4 +1,4 @@
-//! Constants of the decisions, each with its unit and its source.
+//! Constants of the decisions, each with its unit, and a reason where a reader would wonder.
 
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
 pub(crate) const FAILURES_BEFORE_REST: u32 = 4;
 
 /// Share of a service's upstreams that may rest for failed answers at one time. When all of them fail part
-/// of their answers, resting gains nothing: with 5 of 5 at rest 94 requests waited and 194 were refused.
+/// of their answers, resting gains nothing and leaves no place for those who wait.
 pub(crate) const MOST_RESTING_SHARE: f64 = 0.34;
 
 /// First rest of a failing upstream; a restart takes some seconds, a trial costs one request.
@@ -54,9 +54,8 @@
 /// Share of a run's predicted length that counts as cost of its placement.
 ///
 /// In a burst all places are taken while the engines still have computing power left, so that the time for which a
-/// generation holds a place is what is scarce; engines differ several times in it. Mean worth of five days with
-/// trouble on 12 engines 0.604 without it, 0.620 with it (one play each). A tenth gave 0.624 there, but in a replay of
-/// engines with few places it let 858 of 1,000 reports be in time where 880 are due.
+/// generation holds a place is what is scarce; engines differ several times in it. With a larger share, engines with
+/// few places are late.
 pub(crate) const RUN_COST_SHARE: f64 = 0.05;
 
 /// Cost of an upstream in another data centre, in milliseconds: its round trip, and the priced bytes.
@@ -90,8 +89,7 @@
 /// Requests that broke an upstream which are remembered at most.
 pub(crate) const MOST_CRASH_SUSPECTS: usize = 4096;
 
-/// Refused requests that are remembered at most, about a megabyte; 1,000 refusals a second of callers that
-/// wait for 16 s.
+/// Refused requests that are remembered at most, about a megabyte.
 pub(crate) const MOST_REFUSED_REMEMBERED: usize = 16_384;
 
 /// Share of the permitted retries that one owner gives out; the rest covers a change of owners.
@@ -101,14 +99,13 @@
 /// together stay within an eighth of the quota, which the tolerance covers.
 pub(crate) const MINORITY_QUOTA_SHARE: f64 = 0.25;
 
-/// Share of the tolerance of quotas that an owner uses at least; with more of it accounts of large quotas
-/// were given more than the tolerance by two changes of owner.
+/// Share of the tolerance of quotas that an owner uses at least; with more of it, two changes of owner give accounts
+/// of large quotas more than the tolerance.
 pub(crate) const QUOTA_TOLERANCE_USE: f64 = 0.4;
 
 /// Share of the tolerance of quotas with which an account begins at an owner that was told nothing of the time
 /// before; six such owners within a window take less than a third of the tolerance. With nothing at all, the first
-/// request of an account after a start of all nodes was refused; with a tenth, eight owners in a row gave out
-/// 51,800 units of 51,600 in a replay.
+/// request of an account after a start of all nodes would be refused.
 pub(crate) const UNTOLD_START_SHARE: f64 = 0.05;
 
 /// Such owners within a window that the tolerance covers for accounts of any size.
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -58,8 +58,8 @@
             }
         }
         if room.free.is_empty() && room.fastest_full.is_none() {
-            // All that are left rest for failures: some answers are better than none. With one upstream
-            // left, resting it refused every request of its service for 8 s.
+            // All that are left rest for failures: some answers are better than none. Resting the only upstream
+            // would refuse every request of its service.
             let upstreams = self.upstreams.iter().enumerate();
             let in_need = upstreams.filter(|(_, upstream)| upstream.has_room_in_need());
             room.free.extend(in_need.map(|(index, _)| index));
--- a/crates/dragonflystep_dispatch/src/queue.rs
+++ b/crates/dragonflystep_dispatch/src/queue.rs
@@ -110,9 +110,8 @@
 
     /// Work that goes before a new request of `tier`, in milliseconds at one place.
     ///
-    /// Requests of the tier that are late do not go before one that can be in time. Counting them turned
-    /// away those who could be served in time, who then came back late: of 7,749 urgent requests in a
-    /// burst 4,389 were in time, 2,416 late.
+    /// Requests of the tier that are late do not go before one that can be in time. Counting them would turn away
+    /// those who can be served in time, who then come back late.
     pub(crate) fn work_ahead_ms(&self, now: MonotonicTime, tier: Tier, is_late: bool) -> f64 {
         let before = self.waiting.iter().filter(|one| {
             one.ask.tier < tier || one.ask.tier == tier && (is_late || !one.is_late(now))
--- a/crates/dragonflystep_dispatch/src/refused_requests.rs
+++ b/crates/dragonflystep_dispatch/src/refused_requests.rs
@@ -2,9 +2,9 @@
 //!
 //! The load it answers: an overload in which most of the refused callers come back under a new id. They
 //! go before others that are late, and their objective counts from their first try. The time that a
-//! caller has left does not tell this: it differs by 15% among first tries, and taking the shorter ones
-//! for returned ones made 9 in 10 requests look late, so that nobody was served in time ahead of others
-//! and the lowest kind waited 1.7 s where there was room for all.
+//! caller has left does not tell this: it differs among first tries, and taking the shorter ones for returned
+//! ones makes most requests look late, so that nobody goes ahead of others and the lowest kind waits where there is
+//! room for all.
 
 use {
     crate::{
--- a/crates/dragonflystep_dispatch/src/routing.rs
+++ b/crates/dragonflystep_dispatch/src/routing.rs
@@ -140,7 +140,7 @@
 /// Routes of one host.
 ///
 /// Prefixes end with a slash almost always, so that a request's route is one of as many lookups as its path has
-/// slashes; a host of 2,000 routes was searched from end to end for each request before.
+/// slashes, however many routes its host has.
 #[derive(Debug, Default)]
 struct HostRoutes {
     /// Routes whose prefix ends with a slash.
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -1,4 +1,4 @@
-//! Constants of a node's drivers, each with its unit and its source.
+//! Constants of a node's drivers, each with its unit, and a reason where a reader would wonder.
 
 use std::time::Duration;
 
@@ -116,8 +116,8 @@
 pub(crate) const PREFERRED_OWNERS: usize = 2;
 
 /// Power of a node's processor share in its weight as an owner: among machines of 0.12 and 0.5 of a core,
-/// nearly all services go to the larger ones. An owner of 540 requests a second on 0.12 of a core stood
-/// still for 0.2 s at a time, and its service changed owners in the middle of a burst.
+/// nearly all services go to the larger ones. An owner on a small machine stands still in a burst, and its
+/// services change owners in the middle of it.
 pub(crate) const OWNER_WEIGHT_POWER: i32 = 5;
 
 /// Nodes of a large system that follow the platform's documents, beside the owners of services; enough
@@ -132,7 +132,7 @@
 /// a leaving upstream is known within 3 s when the platform refuses all that followed it a second before.
 pub(crate) const PLATFORM_UNHEARD: Duration = Duration::from_millis(2_600);
 
-/// Followers then, as a multiple of the usual: of 24 one is served nearly always also where six in ten nodes are refused.
+/// Followers then, as a multiple of the usual: one of them is nearly always served also where most nodes are refused.
 pub(crate) const UNHEARD_FOLLOWERS_FACTOR: usize = 3;
 
 /// Name by which these nodes are ranked, as owners of a service are.
--- a/crates/dragonflystep_edge/src/list_fetch.rs
+++ b/crates/dragonflystep_edge/src/list_fetch.rs
@@ -222,9 +222,9 @@
 
 /// Fetches each list from the node that told `theirs` if it has a newer one, unless a fetch of that list is under way.
 ///
-/// Passed on with each exchange of views, a list of 0.5 MB came to a node from up to eight others at once. Its link was full
-/// for seconds, exchanges behind it were late, and owners were called gone. Fetched whole within a fixed time, it never came
-/// where requests leave little of a link.
+/// Passed on with each exchange of views, a large list would come to a node from all its partners at once and fill its link;
+/// exchanges behind it would be late, and owners called gone. Fetched whole within a fixed time, it would never come where
+/// requests leave little of a link.
 pub(crate) fn fetch_if_newer(node: &Rc<Node>, theirs: &Digest) {
     for list in LISTS {
         let version = version_of(theirs, list);
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -152,7 +152,7 @@
     /// Nodes that are seen and see this one, itself included.
     ///
     /// Whoever can call others but can't be called would otherwise count itself to the majority, beside the nodes
-    /// that go by another owner; both gave out an account's whole quota.
+    /// that go by another owner; both would give out an account's whole quota.
     pub(crate) fn mutual_count(&self, now: MonotonicTime) -> usize {
         let others = self.others.borrow();
         let suspicions = self.suspicions.borrow();
@@ -164,9 +164,8 @@
 
     /// Whether this node has tried enough others to know what it sees.
     ///
-    /// A node that has just started knows a list of nodes and has heard none of them. Counting them as seen made
-    /// it an owner with the whole quota of each account within 2 ms of its start, beside the owner that the others
-    /// still asked.
+    /// A node that has just started knows a list of nodes and has heard none of them. Counting them as seen would make
+    /// it an owner with the whole quota of each account, beside the owner that the others still ask.
     pub(crate) fn has_looked_around(&self) -> bool {
         if self.has_looked_around.get() || self.version() == 0 {
             return self.has_looked_around.get();
@@ -311,7 +310,7 @@
     }
 
     /// Takes all nodes for reachable until they are tried again: those that failed while this node was cut off may be
-    /// well, and trying them one after the other took longer than the cut.
+    /// well, and trying them one after the other may take longer than the cut.
     pub(crate) fn forget_failures(&self, now: MonotonicTime) {
         for other in self.others.borrow_mut().values_mut() {
             other.failed_since = None;
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -316,8 +316,8 @@
     pub(crate) fn update_reach(&self) {
         let known = self.members.known_count();
         // Nodes that were not tried count as seen. Where none of those that were tried answers, the others are no
-        // more to be seen: 8 of 24 nodes, each cut off by itself, counted themselves to the majority for the whole
-        // cut, and each gave out whole quotas.
+        // more to be seen: nodes that are each cut off by themselves would count themselves to the majority, and each
+        // give out whole quotas.
         let sees_others = self.members.has_looked_around() && !self.hears_no_node();
         let visible = if sees_others {
             self.members.mutual_count(self.owner.now())
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -26,8 +26,8 @@
 
     /// What this node knows, with the changes of lists that `theirs` lacks where they are few.
     ///
-    /// A node that lacks more fetches it, once: after a start of all nodes each was sent the whole registry by all that it
-    /// exchanged views with, and the links of the owners were full for seconds.
+    /// A node that lacks more fetches it, once: after a start of all nodes each would be sent the whole registry by all
+    /// that it exchanges views with.
     pub(crate) fn digest_for(&self, theirs: &Digest, unavailable: Vec<NodeName>) -> Digest {
         let mut digest = self.empty_digest();
         digest.unavailable = unavailable;
--- a/crates/dragonflystep_edge/src/node/hearing.rs
+++ b/crates/dragonflystep_edge/src/node/hearing.rs
@@ -24,8 +24,8 @@
         if is_small || !self.is_ready() || self.hears_no_node() {
             return true;
         }
-        // Followers are ranked by name and size, and the platform may refuse all of them while it serves others: 63
-        // nodes heard of no change for 5 s, and sent requests to upstreams that had left 3.3 s before.
+        // Followers are ranked by name and size, and the platform may refuse all of them while it serves others; then
+        // nobody would hear which upstreams leave.
         let followers = if self.platform_silence() > PLATFORM_UNHEARD {
             PLATFORM_FOLLOWERS * UNHEARD_FOLLOWERS_FACTOR
         } else {
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -64,8 +64,7 @@
 /// Whether a request may go to the upstream of a place: always while this node hears another one or the platform,
 /// else when the upstream says that it takes requests.
 ///
-/// Four requests of two nodes reached upstreams 3.1 to 3.4 s after those had said that they leave, which nobody told the
-/// nodes.
+/// Nobody tells a node that hears nobody which upstreams leave.
 pub(crate) async fn confirm_upstream(
     node: &Rc<Node>,
     service: &ServiceName,
--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -1,7 +1,7 @@
 //! A list with versions that nodes pass on to one another, by its changes where that is enough.
 //!
-//! The load it answers: a registry of thousands of upstreams of which a few change each second. Passed on whole, it took
-//! 3.3 MB a second at the busiest of 100 nodes before 1,000 upstreams.
+//! The load it answers: a registry of thousands of upstreams of which a few change each second. Passed on whole, it would
+//! fill the links of the nodes that pass it on.
 
 use {
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -137,8 +137,8 @@
             return false;
         }
         if self.version == 0 || self.wants_whole {
-            // What was removed before this list is not known here. Who asked for changes from then on got a list that
-            // still held what was gone, and the whole one an exchange of views later.
+            // What was removed before this list is not known here. Who asks for changes from then on would get a list
+            // that still holds what is gone.
             self.forgotten = version;
         }
         let kept: HashSet<&str> = entries.iter().map(|entry| &**entry.key()).collect();
