--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -40,6 +40,7 @@
         let now = node.owner.now();
         if now.saturating_sub(looked_at) > REACH_LOOK + PAUSE_NOTICED {
             log::warn!(paused_ms = (now - looked_at).as_millis() as u64; "this node did not run for a while");
+            node.metrics.count("pauses_total", "process");
             node.members.resumed(now);
         }
         node.update_reach();
@@ -107,7 +108,9 @@
         Ok(theirs) => {
             let now = node.owner.now();
             let is_owner = node.is_owner_for_all(&peer);
-            node.members.answered(now, &peer, theirs.is_leaving);
+            if node.members.answered(now, &peer, theirs.is_leaving) {
+                node.metrics.count("cuts_ended_total", "first_owner");
+            }
             // Counted from the call on: what is on the way does not grow younger from node to node.
             node.note_platform_heard(asked_at.saturating_sub(theirs.platform_heard));
             node.note_exchange();
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -1,20 +1,22 @@
 //! Which nodes there are, and which of them this node sees.
 //!
-//! The platform's table lists the nodes; whether one is there is learned by exchanging views with it, and
-//! from what its neighbours say. A node that was not tried yet counts as there.
+//! The platform's table lists the nodes; whether one is there is learned by exchanging views with it, and from what the
+//! owners say (`members/reachability.rs`). A node that was not tried yet counts as there.
+
+mod reachability;
 
 use {
     crate::{
         limits::{
-            CUT_OFF_FROM_OWNER, LARGE_SYSTEM_NEIGHBOURS, OWNER_WEIGHT_POWER, OWNERS_KEY,
-            PREFERRED_OWNERS, SMALL_SYSTEM_NODES,
+            LARGE_SYSTEM_NEIGHBOURS, OWNER_WEIGHT_POWER, OWNERS_KEY, PREFERRED_OWNERS,
+            SMALL_SYSTEM_NODES,
         },
         settings::MemberRecord,
         suspicion::Suspicions,
         versioned_list::{Changes, ListEntry, VersionedList},
     },
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
-    dragonflystep_peer::{PeerError, PeerLink, PeerNetwork},
+    dragonflystep_peer::{PeerLink, PeerNetwork},
     std::{
         cell::{Cell, Ref, RefCell},
         collections::{BTreeMap, HashMap},
@@ -268,135 +270,6 @@
         chosen.iter().map(|record| record.ingress.clone()).collect()
     }
 
-    /// Notes that a node answered.
-    pub(crate) fn answered(&self, now: MonotonicTime, node: &str, is_leaving: bool) {
-        let mut others = self.others.borrow_mut();
-        let Some(other) = others.get_mut(node) else {
-            return;
-        };
-        let failed_since = other.failed_since.take();
-        other.is_tried = true;
-        other.is_down = false;
-        other.is_leaving = is_leaving;
-        drop(others);
-        self.suspicions.borrow_mut().heard(now, node);
-        let Some(since) = failed_since else {
-            return;
-        };
-        log::info!(peer = node; "node is reachable again");
-        let was_cut_off = now.saturating_sub(since) >= CUT_OFF_FROM_OWNER;
-        if was_cut_off && self.first_owners().iter().any(|owner| **owner == *node) {
-            log::info!(peer = node; "this node was cut off from a first owner");
-            self.forget_failures(now);
-        }
-    }
-
-    /// Notes that a node did not answer.
-    pub(crate) fn failed(&self, now: MonotonicTime, node: &str, error: &PeerError) {
-        if let Some(other) = self.others.borrow_mut().get_mut(node) {
-            if other.failed_since.is_none() {
-                log::warn!(peer = node, reason:% = error; "node does not answer");
-                other.failed_since = Some(now);
-            }
-            other.is_tried = true;
-            other.is_down = error.is_refused();
-            other.link.reset();
-        }
-    }
-
-    /// Notes that this node did not run for a while.
-    pub(crate) fn resumed(&self, now: MonotonicTime) {
-        self.suspicions.borrow_mut().begin_anew(now);
-    }
-
-    /// Takes all nodes for reachable until they are tried again: those that failed while this node was cut off may be
-    /// well, and trying them one after the other may take longer than the cut.
-    pub(crate) fn forget_failures(&self, now: MonotonicTime) {
-        for other in self.others.borrow_mut().values_mut() {
-            other.failed_since = None;
-        }
-        self.suspicions.borrow_mut().begin_anew(now);
-    }
-
-    /// Notes whether a node said that it is stopping.
-    pub(crate) fn set_leaving(&self, node: &str, is_leaving: bool) {
-        if let Some(other) = self.others.borrow_mut().get_mut(node) {
-            other.is_leaving = is_leaving;
-        }
-    }
-
-    /// Notes whether a node counts this one as unavailable.
-    pub(crate) fn set_misses_us(&self, node: &str, unavailable: &[NodeName]) {
-        if let Some(other) = self.others.borrow_mut().get_mut(node) {
-            other.misses_us = unavailable.contains(&self.own.node);
-        }
-    }
-
-    /// Whether a node did not answer this one when it was called last.
-    pub(crate) fn has_failed(&self, node: &str) -> bool {
-        let others = self.others.borrow();
-        others.get(node).is_some_and(Other::has_failed)
-    }
-
-    /// Nodes that do not answer this one.
-    pub(crate) fn failed_nodes(&self) -> Vec<NodeName> {
-        self.nodes_where(Other::has_failed)
-    }
-
-    /// Nodes that do not answer this one, or told it that they are stopping.
-    pub(crate) fn own_unavailable(&self) -> Vec<NodeName> {
-        self.nodes_where(|other| other.has_failed() || other.is_leaving)
-    }
-
-    fn nodes_where(&self, is_meant: impl Fn(&Other) -> bool) -> Vec<NodeName> {
-        let others = self.others.borrow();
-        let meant = others.iter().filter(|(_, other)| is_meant(other));
-        meant.map(|(node, _)| node.clone()).collect()
-    }
-
-    /// Notes that a node called.
-    pub(crate) fn heard(&self, now: MonotonicTime, node: &str) {
-        self.suspicions.borrow_mut().heard(now, node);
-    }
-
-    /// Takes in which nodes do not answer a calling node; counts where all nodes call this one.
-    pub(crate) fn accused(&self, now: MonotonicTime, nodes: &[NodeName], is_called_by_all: bool) {
-        let mut suspicions = self.suspicions.borrow_mut();
-        suspicions.set_called_by_all(now, is_called_by_all);
-        if is_called_by_all {
-            suspicions.accused(now, &self.hearsay(nodes));
-        }
-    }
-
-    /// Takes in which nodes an owner takes for gone; not passed on, so that it does not go on circulating.
-    pub(crate) fn told_by_owner(&self, now: MonotonicTime, owner: &NodeName, nodes: &[NodeName]) {
-        let mut suspicions = self.suspicions.borrow_mut();
-        suspicions.told_by_owner(now, owner, &self.hearsay(nodes));
-    }
-
-    /// Those of some nodes on which this one goes by the word of others.
-    ///
-    /// What this node sees itself goes before what others say: after a start of all nodes some have called the owner
-    /// too early, and their word would split the services between two owners.
-    fn hearsay(&self, nodes: &[NodeName]) -> Vec<NodeName> {
-        // With few nodes each one tries all others itself.
-        if nodes.is_empty() || self.listed_count() <= SMALL_SYSTEM_NODES {
-            return Vec::new();
-        }
-        let seen_directly = self.direct_partners();
-        let hearsay = nodes.iter().filter(|node| !seen_directly.contains(node));
-        hearsay.cloned().collect()
-    }
-
-    /// Nodes that do not answer this one, or are taken for gone by what its callers say.
-    pub(crate) fn all_unavailable(&self, now: MonotonicTime) -> Vec<NodeName> {
-        let mut nodes = self.own_unavailable();
-        nodes.extend(self.suspicions.borrow_mut().suspects(now));
-        nodes.sort();
-        nodes.dedup();
-        nodes
-    }
-
     /// Nodes with which this one exchanges views whatever it believes of them: its neighbours, and in a
     /// large system the nodes that own the services if all are there.
     pub(crate) fn direct_partners(&self) -> Vec<NodeName> {
