--- a/crates/dragonflystep_edge/src/list_fetch.rs
+++ b/crates/dragonflystep_edge/src/list_fetch.rs
@@ -108,7 +108,7 @@
         let begun = answers
             .iter()
             .position(|answer| is_kept(answer, ask.leads_to));
-        let newest = self.list_version(ask.list);
+        let newest = self.with_list(ask.list, |known| known.version());
         let kept = begun.or_else(|| answers.iter().position(|answer| is_kept(answer, newest)));
         if let Some(index) = kept {
             return answers[index].piece(ask);
@@ -123,12 +123,9 @@
     }
 
     fn new_answer(&self, list: ListName, base_version: u64) -> Option<Answer> {
-        let encoded = match list {
-            ListName::Catalogue => encoded_since(&self.views.catalogue_list(), base_version),
-            ListName::Registry => encoded_since(&self.views.registry_list(), base_version),
-            ListName::Members => encoded_since(&self.members.list(), base_version),
-        };
-        let leads_to = self.list_version(list);
+        let (encoded, leads_to) = self.with_list(list, |known| {
+            (known.encoded_since(base_version), known.version())
+        });
         match encoded? {
             Ok(bytes) => Some(Answer {
                 base_version,
@@ -142,29 +139,11 @@
         }
     }
 
-    fn list_version(&self, list: ListName) -> u64 {
-        match list {
-            ListName::Catalogue => self.views.catalogue_list().version(),
-            ListName::Registry => self.views.registry_list().version(),
-            ListName::Members => self.members.list().version(),
-        }
-    }
-
-    /// The version of a list that this node tells others.
-    fn told_version(&self, list: ListName) -> u64 {
+    fn with_list<R>(&self, list: ListName, look: impl FnOnce(&dyn FetchedList) -> R) -> R {
         match list {
-            ListName::Catalogue => self.views.catalogue_list().told_version(),
-            ListName::Registry => self.views.registry_list().told_version(),
-            ListName::Members => self.members.list().told_version(),
-        }
-    }
-
-    /// Whether a node that has a version of a list can tell this one something new.
-    fn lacks(&self, list: ListName, their_version: u64) -> bool {
-        match list {
-            ListName::Catalogue => self.views.catalogue_list().lacks(their_version),
-            ListName::Registry => self.views.registry_list().lacks(their_version),
-            ListName::Members => self.members.list().lacks(their_version),
+            ListName::Catalogue => look(&*self.views.catalogue_list()),
+            ListName::Registry => look(&*self.views.registry_list()),
+            ListName::Members => look(&*self.members.list()),
         }
     }
 
@@ -183,13 +162,37 @@
     }
 }
 
-/// What a node lacks that has a version of a list; none if it lacks nothing, or this node's list is not whole itself.
-fn encoded_since<T: ListEntry>(
-    list: &VersionedList<T>,
-    version: u64,
-) -> Option<Result<Vec<u8>, ChangesError>> {
-    let changes = list.is_whole().then(|| list.changes_since(version))?;
-    changes.map(|changes| changes.encode())
+/// A list of any entries, as far as a fetch is concerned.
+trait FetchedList {
+    fn version(&self) -> u64;
+
+    /// The version to tell other nodes.
+    fn told_version(&self) -> u64;
+
+    /// Whether a list of `their_version` holds something new.
+    fn lacks(&self, their_version: u64) -> bool;
+
+    /// What a node lacks that has a version; none if it lacks nothing, or this list is not whole itself.
+    fn encoded_since(&self, version: u64) -> Option<Result<Vec<u8>, ChangesError>>;
+}
+
+impl<T: ListEntry> FetchedList for VersionedList<T> {
+    fn version(&self) -> u64 {
+        self.version()
+    }
+
+    fn told_version(&self) -> u64 {
+        self.told_version()
+    }
+
+    fn lacks(&self, their_version: u64) -> bool {
+        self.lacks(their_version)
+    }
+
+    fn encoded_since(&self, version: u64) -> Option<Result<Vec<u8>, ChangesError>> {
+        let changes = self.is_whole().then(|| self.changes_since(version))?;
+        changes.map(|changes| changes.encode())
+    }
 }
 
 fn version_of(digest: &Digest, list: ListName) -> u64 {
@@ -228,7 +231,7 @@
 pub(crate) fn fetch_if_newer(node: &Rc<Node>, theirs: &Digest) {
     for list in LISTS {
         let version = version_of(theirs, list);
-        if !node.lacks(list, version) {
+        if !node.with_list(list, |known| known.lacks(version)) {
             continue;
         }
         let fetches = node.list_fetches.of(list);
@@ -258,7 +261,7 @@
 ) -> Result<(), PeerError> {
     let fetches = node.list_fetches.of(list);
     let began_at = node.owner.now();
-    let base_version = node.told_version(list);
+    let base_version = node.with_list(list, |known| known.told_version());
     let begun = fetches.partial.take();
     let begun = begun.filter(|begun| begun.source == *source && begun.base_version == base_version);
     let mut partial = begun.unwrap_or_else(|| Partial {
