Order lists by the store's era, and keep what an older copy of the store lacks

Cause: a store that returns from an older copy gives its numbers of transactions out again. Nodes compared lists by that number alone, so that each list they had counted as newer than what the store told afterwards; a leaving upstream was not noticed, and a node's own entry stayed lost.

Ruled out: taking the copy as it is (upstreams and nodes that it lacks would be gone for two seconds, those that had left would be back); era numbers in every message (the version of a list carries the era, so that the wire stays as it was).

- A version is (era, whether its reader knows what was listed before, transaction); a list of a later era replaces an earlier one only if its reader knows what was before, so that a node which starts in between does not persuade the others.
- A list that is not known to be whole is told to nobody; it passed for a whole one before.

--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod job;
 mod limits;
 mod list_fetch;
+mod list_version;
 mod logs;
 mod members;
 mod metrics;
@@ -43,6 +44,7 @@
     burn::{EdgeBurnReport, RouteBurn},
     dialect::{AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, UpstreamFacts},
     limits::OWNER_FEED_WAIT,
+    list_version::{ListReading, era_of, is_older_copy, recalls_before},
     logs::{LogBuffer, LogError, start_log},
     metrics::Metrics,
     node::{Node, NodeError, run_node},
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -185,6 +185,26 @@
         self.members.lists_own()
     }
 
+    /// Version of the list of nodes in force; 0 is none.
+    pub fn members_version(&self) -> u64 {
+        self.members.version()
+    }
+
+    /// The list of nodes in force.
+    pub fn member_records(&self) -> Vec<MemberRecord> {
+        self.members.list().entries().cloned().collect()
+    }
+
+    /// Version of the registry in force; 0 is none.
+    pub fn registry_version(&self) -> u64 {
+        self.views.registry().version
+    }
+
+    /// The upstreams of the registry in force.
+    pub fn upstreams(&self) -> Rc<Vec<Upstream>> {
+        self.views.registry().upstreams
+    }
+
     /// How other nodes find this one.
     pub fn member_record(&self) -> &MemberRecord {
         self.members.own()
--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -4,6 +4,7 @@
 //! fill the links of the nodes that pass it on.
 
 use {
+    crate::list_version::supersedes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         collections::{BTreeMap, HashSet},
@@ -120,7 +121,7 @@
 
     /// Whether a list of `their_version` holds something new.
     pub(crate) fn lacks(&self, their_version: u64) -> bool {
-        their_version > self.version || self.wants_whole && their_version == self.version
+        supersedes(their_version, self.version) || self.wants_whole && their_version == self.version
     }
 
     pub(crate) fn entries(&self) -> impl Iterator<Item = &T> {
@@ -133,7 +134,7 @@
 
     /// Takes over a whole list, unless the present one is as new.
     pub(crate) fn replace(&mut self, version: u64, entries: Vec<T>) -> bool {
-        if version < self.version || version == self.version && !self.wants_whole {
+        if !self.lacks(version) {
             return false;
         }
         if self.version == 0 || self.wants_whole {
@@ -153,8 +154,10 @@
     }
 
     /// What a node lacks that has the list of `their_version`; none if that is as new as this one.
+    ///
+    /// A list that is not known to be whole is told to nobody: it may lack entries that its version has.
     pub(crate) fn changes_since(&self, their_version: u64) -> Option<Changes<T>> {
-        if their_version >= self.version {
+        if their_version >= self.version || self.wants_whole {
             return None;
         }
         let base_version = if their_version < self.forgotten {
@@ -179,7 +182,7 @@
     /// What a node lacks that has the list of `their_version`, if that is at most `most` entries.
     pub(crate) fn few_changes_since(&self, their_version: u64, most: usize) -> Option<Changes<T>> {
         // Most exchanges of views are between nodes that have the same list.
-        if their_version >= self.version {
+        if their_version >= self.version || self.wants_whole {
             return None;
         }
         let is_whole_needed = their_version < self.forgotten;
@@ -197,7 +200,7 @@
         if changes.base_version == 0 {
             return self.replace(changes.version, changes.set);
         }
-        if changes.version <= self.version || changes.base_version > self.version {
+        if !supersedes(changes.version, self.version) || changes.base_version > self.version {
             return false;
         }
         self.advance(changes.version, changes.set, &changes.removed);
