Roll a version out step by step, and back if it is worse than the old one

Cause: operators order that a service's traffic moves to another version of its upstreams. Nothing read such orders, so that a bad version got as many requests as its upstreams had places, and no order was ever answered.

How: the owner of a service sends a small share of its requests to the new version as canaries, in like numbers from each route, in turn to its upstreams; compares failures, slow outliers and mean durations by route with the old version; sends all requests there for the last part of the order, as long as the permitted exposure lasts; then writes that it is completed. Orders and decisions travel with the exchanges of views, so that the next owner knows them; each owner spends a share of the requests that it sees itself, so that owners in a row need no count of one another. A node that sees no majority sends no canaries, decides and writes nothing. The row that tells the state is written under a condition.

Ruled out: a count of bad answers (routes fail up to 14 in 100 at any version); means of all durations (upstreams of one version differ four times in speed); moving all requests as soon as the version looks good (one that turns bad later is then exposed whole); a list with versions for the orders (what nodes know of an order merges without one).

With real nodes (platform/tests/rollouts.rs): owners killed three times, a loss of all, a store away at the decision, nodes cut off, a store that returns from an older copy.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -11,6 +11,7 @@
         quota::{QuotaRules, Quotas},
         refusal::refuse,
         retry_budget::RetryLimits,
+        rollout::{RolloutOrder, RolloutPhase, RolloutRules, RolloutStep},
         spending::SpendingReport,
         upstream::Upstream,
     },
@@ -28,6 +29,8 @@
     pub retry_window_s: u64,
     /// How the use of accounts is judged.
     pub quota: QuotaRules,
+    /// How many requests a new version may get before it is known to be good.
+    pub rollout: RolloutRules,
 }
 
 impl SharedLimits {
@@ -65,6 +68,12 @@
     ReachChanged(Reach),
     /// An upstream said that requests wait there.
     LoadObserved(UpstreamLoad),
+    /// An operator orders that a service's requests move to another version, or the order is known better.
+    RolloutOrdered(RolloutOrder),
+    /// An order of a number was decided by another node, or earlier.
+    RolloutSettled(ServiceName, u64, RolloutPhase),
+    /// An operator withdrew the order of a service.
+    RolloutWithdrawn(ServiceName),
     /// Time passed.
     Ticked,
 }
@@ -82,7 +91,7 @@
 ///
 /// # Examples
 /// ```
-/// use dragonflystep_dispatch::{Dispatcher, Event, QuotaRules, SharedLimits};
+/// use dragonflystep_dispatch::{Dispatcher, Event, QuotaRules, RolloutRules, SharedLimits};
 /// use std::time::Duration;
 ///
 /// let quota = QuotaRules {
@@ -90,7 +99,8 @@
 ///     tolerated_share: 0.1,
 ///     tolerated_units: 0.0,
 /// };
-/// let limits = SharedLimits { retry_ratio: 0.2, retry_slack: 50.0, retry_window_s: 10, quota };
+/// let rollout = RolloutRules { exposed_share: 0.1, exposed_slack: 50.0 };
+/// let limits = SharedLimits { retry_ratio: 0.2, retry_slack: 50.0, retry_window_s: 10, quota, rollout };
 /// let mut dispatcher = Dispatcher::new(limits);
 /// assert!(dispatcher.reduce(Duration::from_secs(1), Event::Ticked).is_empty());
 /// ```
@@ -101,6 +111,8 @@
     pools: HashMap<ServiceName, ServicePool>,
     quotas: Quotas,
     suspects: CrashSuspects,
+    rollout_rules: RolloutRules,
+    rollout_steps: Vec<RolloutStep>,
 }
 
 impl Dispatcher {
@@ -112,9 +124,16 @@
             pools: HashMap::new(),
             quotas: Quotas::new(limits.quota),
             suspects: CrashSuspects::default(),
+            rollout_rules: limits.rollout,
+            rollout_steps: Vec::new(),
         }
     }
 
+    /// Steps of roll-outs since the last call, which others have to be told of.
+    pub fn take_rollout_steps(&mut self) -> Vec<RolloutStep> {
+        std::mem::take(&mut self.rollout_steps)
+    }
+
     /// Takes in what happened at `now` and returns the verdicts that follow.
     pub fn reduce(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -131,10 +150,11 @@
             Event::LimitsChanged(limits) => {
                 self.retry_limits = limits.retries();
                 self.quotas.set_rules(limits.quota);
+                self.rollout_rules = limits.rollout;
             }
             Event::CatalogueChanged(catalogue) => self.set_catalogue(&catalogue),
             Event::UpstreamsChanged(upstreams) => {
-                self.set_upstreams(upstreams);
+                self.set_upstreams(now, upstreams);
                 self.place_all(now, &mut effects);
             }
             Event::ReachChanged(reach) => {
@@ -149,8 +169,25 @@
                     pool.load_observed(now, &load);
                 }
             }
+            Event::RolloutOrdered(order) => {
+                let pool = self.pools.entry(order.service.clone()).or_default();
+                pool.order_rollout(now, order, self.rollout_rules);
+                self.place_all(now, &mut effects);
+            }
+            Event::RolloutSettled(service, number, phase) => {
+                if let Some(pool) = self.pools.get_mut(&service) {
+                    pool.settle_rollout(number, phase);
+                }
+                self.place_all(now, &mut effects);
+            }
+            Event::RolloutWithdrawn(service) => {
+                if let Some(pool) = self.pools.get_mut(&service) {
+                    pool.withdraw_rollout();
+                }
+            }
             Event::Ticked => {
                 for pool in self.pools.values_mut() {
+                    self.rollout_steps.extend(pool.advance_rollout(now));
                     pool.expire_waiting(now, &mut effects);
                 }
                 self.place_all(now, &mut effects);
@@ -188,6 +225,7 @@
         let account = ask.account.clone();
         let (run, units) = (ask.run, f64::from(ask.quota_units));
         let pool = self.pools.entry(ask.service.clone()).or_default();
+        self.rollout_steps.extend(pool.advance_rollout(now));
         pool.asked(now, ask, effects);
         // What does not run does not use up the quota.
         if let Some(account) = account
@@ -269,7 +307,7 @@
         self.quotas.set_limits(limits);
     }
 
-    fn set_upstreams(&mut self, upstreams: Vec<Upstream>) {
+    fn set_upstreams(&mut self, now: MonotonicTime, upstreams: Vec<Upstream>) {
         let mut by_service: HashMap<ServiceName, Vec<Upstream>> = HashMap::new();
         for upstream in upstreams {
             let of_service = by_service.entry(upstream.service.clone()).or_default();
@@ -279,7 +317,7 @@
             self.pools.entry(name.clone()).or_default();
         }
         for (name, pool) in &mut self.pools {
-            pool.set_upstreams(by_service.remove(name).unwrap_or_default());
+            pool.set_upstreams(now, by_service.remove(name).unwrap_or_default());
         }
         // Entries of the registry may name any service; what they leave behind must not pile up.
         self.pools.retain(|_, pool| !pool.is_unused());
--- a/crates/dragonflystep_dispatch/src/ids.rs
+++ b/crates/dragonflystep_dispatch/src/ids.rs
@@ -17,6 +17,9 @@
 /// Identifies one start of an upstream.
 pub type UpstreamId = Arc<str>;
 
+/// Version of the software that an upstream runs; empty if it does not say.
+pub type UpstreamVersion = Arc<str>;
+
 /// Name of a node of the system.
 pub type NodeName = Arc<str>;
 
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod refusal;
 mod refused_requests;
 mod retry_budget;
+mod rollout;
 mod routing;
 mod speed;
 mod spending;
@@ -36,11 +37,12 @@
     dispatcher::{Dispatcher, Effect, Event, SharedLimits},
     ids::{
         AccountName, DataCentreName, MonotonicTime, NodeName, PartId, RequestFingerprint,
-        RouteName, RunId, ServiceName, Tier, UpstreamId,
+        RouteName, RunId, ServiceName, Tier, UpstreamId, UpstreamVersion,
     },
     ownership::{Member, Reach, member_share, rank_owners},
     pool::{PoolSummary, UpstreamSummary},
     quota::QuotaRules,
+    rollout::{RolloutOrder, RolloutPhase, RolloutRules, RolloutStep},
     routing::{RouteMatch, RoutingError, RoutingTable},
     spending::{AccountSpending, SpendingLedger, SpendingReport, SpentSlice},
     upstream::{Upstream, UpstreamPhase},
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -145,3 +145,61 @@
 
 /// Time for which the order of the queue stands; requests become late at this grain.
 pub(crate) const QUEUE_ORDER_AGE: Duration = Duration::from_millis(20);
+
+/// Share of the permitted exposure that canaries use up; the rest is for the switch at the end.
+pub(crate) const ROLLOUT_CANARY_USE: f64 = 0.35;
+
+/// Share of the permitted exposure that canaries and the switch use up together; the rest covers requests that are
+/// counted late, and owners that do not know of one another.
+pub(crate) const ROLLOUT_EXPOSURE_USE: f64 = 0.9;
+
+/// The same of the requests that are permitted besides the share.
+pub(crate) const ROLLOUT_SLACK_USE: f64 = 0.3;
+
+/// Requests over which canaries use up their part of what is permitted besides the share.
+pub(crate) const ROLLOUT_SLACK_REQUESTS: f64 = 500.0;
+
+/// Largest share of a route's requests that are canaries.
+pub(crate) const ROLLOUT_MOST_ROUTE_SHARE: f64 = 0.3;
+
+/// Upstreams of the new version that get canaries, if there are more: enough that a few slow ones among them do not look
+/// like a slow version, and few enough that each gets several.
+pub(crate) const ROLLOUT_CANARY_UPSTREAMS: usize = 24;
+
+/// Longest time for which all requests go to the new version before the order is completed.
+pub(crate) const ROLLOUT_LONGEST_SWITCH: Duration = Duration::from_millis(1_500);
+
+/// Time before the order's end in which the decision is written.
+pub(crate) const ROLLOUT_SETTLE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time between two looks at the evidence.
+pub(crate) const ROLLOUT_JUDGE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time after which what counts as lately begins anew.
+pub(crate) const ROLLOUT_LATELY: Duration = Duration::from_secs(3);
+
+/// How often each comparison of rates may take a good version for a bad one.
+pub(crate) const ROLLOUT_FALSE_ALARM: f64 = 2e-4;
+
+/// Factor of the durations below which a version is not slower.
+pub(crate) const ROLLOUT_SMALLEST_SLOWDOWN: f64 = 1.5;
+
+/// Standard deviations by which the durations have to differ, if they are known by the spread of single durations.
+pub(crate) const ROLLOUT_SLOWDOWN_DEVIATIONS: f64 = 4.5;
+
+/// The same, if they are known by the spread among upstreams, of which few were tried and the old version's slow ones less
+/// often.
+pub(crate) const ROLLOUT_UPSTREAM_DEVIATIONS: f64 = 6.0;
+
+/// Answers of a version by which it can be judged.
+pub(crate) const ROLLOUT_LEAST_ANSWERS: f64 = 30.0;
+
+/// The same on each route that has as many at the old version.
+pub(crate) const ROLLOUT_LEAST_ROUTE_ANSWERS: f64 = 8.0;
+
+/// Time for which upstreams of a version get nothing that nobody has ordered yet: the order may be known a moment later
+/// than its upstreams.
+pub(crate) const UNORDERED_VERSION_HOLD: Duration = Duration::from_millis(1_500);
+
+/// Time beyond its predicted end after which a run counts as failed in the comparison of two versions.
+pub(crate) const OVERDUE_AFTER: Duration = Duration::from_secs(8);
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod placing;
 mod refusing;
+mod rolling;
 mod runs;
 mod summary;
 
@@ -14,15 +15,16 @@
         catalogue::Engine,
         dispatcher::Effect,
         ids::{MonotonicTime, RunId, Tier},
-        limits::{DEFAULT_CACHE_TOKENS, MOST_PASSED_OVER},
+        limits::{DEFAULT_CACHE_TOKENS, MOST_PASSED_OVER, UNORDERED_VERSION_HOLD},
         queue::{WaitQueue, Waiting},
         refusal::{ArrivalRates, longest_wait},
         refused_requests::RefusedRequests,
         retry_budget::RetryBudget,
+        rollout::{Rollout, RolloutRules},
         speed::{RouteMeans, Speed},
         upstream::{LiveUpstream, Run, Upstream},
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, HashMap, HashSet},
 };
 
 /// One service at its owner.
@@ -42,6 +44,8 @@
     places_share: Option<f64>,
     /// When each tier got its last place.
     granted_at: BTreeMap<Tier, MonotonicTime>,
+    rollout: Option<Rollout>,
+    rollout_rules: RolloutRules,
 }
 
 impl ServicePool {
@@ -50,7 +54,12 @@
     }
 
     /// Takes over the registry's entries for this service.
-    pub(crate) fn set_upstreams(&mut self, entries: Vec<Upstream>) {
+    pub(crate) fn set_upstreams(&mut self, now: MonotonicTime, entries: Vec<Upstream>) {
+        let versions: HashSet<_> = self
+            .upstreams
+            .iter()
+            .map(|one| one.entry.version.clone())
+            .collect();
         let mut before: HashMap<_, LiveUpstream> = self
             .upstreams
             .drain(..)
@@ -66,7 +75,14 @@
                     known.entry = entry;
                     known
                 }
-                None => LiveUpstream::new(entry, joint, cache_tokens),
+                None => {
+                    let is_unordered = !versions.is_empty() && !versions.contains(&entry.version);
+                    let mut upstream = LiveUpstream::new(entry, joint, cache_tokens);
+                    if is_unordered && self.rollout.is_none() {
+                        upstream.hold(now + UNORDERED_VERSION_HOLD);
+                    }
+                    upstream
+                }
             };
             self.upstreams.push(upstream);
         }
@@ -82,6 +98,7 @@
             && self.orphans.is_empty()
             && self.queue.is_empty()
             && self.retries.is_empty()
+            && self.rollout.is_none()
     }
 
     /// Places a new request, lets it wait or refuses it.
@@ -91,7 +108,8 @@
         let has_returned = earlier.is_some();
         let spent_before = now.saturating_sub(first_asked_at);
         ask.objective_left = ask.objective_left.saturating_sub(spent_before);
-        let joint = Speed::joint(self.upstreams.iter().map(|upstream| &upstream.speed));
+        let is_canary = self.note_for_rollout(&ask);
+        let joint = self.joint_speed();
         let (first, run_ms) = self.joint_durations(&ask, joint);
         let longest = longest_wait(&ask, has_returned, first);
         let tier = ask.tier;
@@ -108,6 +126,7 @@
                 first,
                 first_asked_at,
                 has_returned,
+                is_canary,
                 ask,
             },
         );
@@ -124,18 +143,22 @@
             return;
         }
         let mut room = self.room(now);
-        if room.free.is_empty() {
+        if room.free.is_empty() && room.canary.is_empty() {
             return;
         }
         self.queue.sort(now);
         let (mut index, mut passed_over) = (0, 0);
         while index < self.queue.len() && passed_over < MOST_PASSED_OVER {
             match self.choose_for(now, self.queue.get(index), &room) {
-                Choice::Place(upstream, prediction) => {
+                choice @ (Choice::Place(upstream, prediction)
+                | Choice::PlaceCanary(upstream, prediction)) => {
+                    if matches!(choice, Choice::PlaceCanary(..)) {
+                        self.upstreams[upstream].canaries += 1;
+                    }
                     let waiting = self.queue.take(index);
                     effects.push(self.grant(now, waiting.ask, upstream, prediction));
                     room = self.room(now);
-                    if room.free.is_empty() {
+                    if room.free.is_empty() && room.canary.is_empty() {
                         return;
                     }
                 }
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -17,6 +17,8 @@
 pub(super) enum Choice {
     /// It goes to the upstream of this index.
     Place(usize, Prediction),
+    /// It goes to the upstream of this index, which is of a new version.
+    PlaceCanary(usize, Prediction),
     /// It waits, and the next one is looked at.
     Wait,
 }
@@ -25,6 +27,8 @@
 pub(super) struct Room {
     /// Upstreams with a free place.
     pub(super) free: Vec<usize>,
+    /// Upstreams of a new version with a free place, for canaries only.
+    pub(super) canary: Vec<usize>,
     /// Reading speed of the fastest upstream that is full, in milliseconds a token.
     pub(super) fastest_full: Option<f64>,
 }
@@ -39,6 +43,7 @@
     pub(super) fn room(&self, now: MonotonicTime) -> Room {
         let mut room = Room {
             free: Vec::new(),
+            canary: self.canary_room(now),
             fastest_full: None,
         };
         if let Some(share) = self.places_share {
@@ -49,6 +54,9 @@
             }
         }
         for (index, upstream) in self.upstreams.iter().enumerate() {
+            if !self.takes_main(upstream) {
+                continue;
+            }
             if upstream.has_room(now) {
                 room.free.push(index);
             } else if upstream.is_usable(now) {
@@ -61,7 +69,8 @@
             // All that are left rest for failures: some answers are better than none. Resting the only upstream
             // would refuse every request of its service.
             let upstreams = self.upstreams.iter().enumerate();
-            let in_need = upstreams.filter(|(_, upstream)| upstream.has_room_in_need());
+            let in_need = upstreams
+                .filter(|(_, upstream)| self.takes_main(upstream) && upstream.has_room_in_need());
             room.free.extend(in_need.map(|(index, _)| index));
         }
         room
@@ -77,6 +86,20 @@
 
     pub(super) fn choose_for(&self, now: MonotonicTime, waiting: &Waiting, room: &Room) -> Choice {
         let objective_left = waiting.objective_left(now);
+        if waiting.is_canary && !room.canary.is_empty() {
+            let (ask, canary) = (&waiting.ask, &room.canary);
+            let found = choose(
+                now,
+                ask,
+                objective_left,
+                &self.upstreams,
+                canary,
+                self.model(),
+            );
+            if let Some((index, prediction)) = found {
+                return Choice::PlaceCanary(index, prediction);
+            }
+        }
         let found = choose(
             now,
             &waiting.ask,
@@ -137,6 +160,7 @@
             tokens_before_first: prediction.tokens_before_first,
             first_expected_at: prediction.first_at,
             end_expected_at: prediction.end_at,
+            is_overdue: false,
             ask,
         };
         upstream.runs.insert(run.ask.run, run);
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -68,7 +68,7 @@
         let is_there_one = self
             .upstreams
             .iter()
-            .any(|one| one.entry.phase == UpstreamPhase::Ready);
+            .any(|one| one.entry.phase == UpstreamPhase::Ready && self.takes_main(one));
         if is_there_one {
             RefusalReason::Overloaded
         } else {
@@ -86,7 +86,7 @@
         let places: f64 = self
             .upstreams
             .iter()
-            .filter(|one| one.is_usable(now))
+            .filter(|one| one.is_usable(now) && self.takes_main(one))
             .map(|one| f64::from(one.slots()))
             .sum();
         if places == 0.0 {
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -51,6 +51,8 @@
         let upstream = &mut self.upstreams[index];
         let run = upstream.runs.remove(&ended.run)?;
         upstream.note_outcome(now, ended.outcome, may_rest);
+        self.observe_for_rollout(index, &run, ended);
+        let upstream = &mut self.upstreams[index];
         if ended.outcome == RunOutcome::Completed {
             self.refused.answered(run.ask.fingerprint);
             match run.ask.longest_pause {
--- a/crates/dragonflystep_dispatch/src/queue.rs
+++ b/crates/dragonflystep_dispatch/src/queue.rs
@@ -21,6 +21,8 @@
     pub(crate) first_asked_at: MonotonicTime,
     /// Whether it was refused before.
     pub(crate) has_returned: bool,
+    /// Whether it shows how a new version of its service does.
+    pub(crate) is_canary: bool,
     /// When it is late.
     pub(crate) objective_at: MonotonicTime,
     /// When it is refused at the latest.
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -4,7 +4,7 @@
     crate::{
         ask::{Ask, RunOutcome, UpstreamLoad},
         cached_parts::CachedParts,
-        ids::{DataCentreName, MonotonicTime, RunId, ServiceName, UpstreamId},
+        ids::{DataCentreName, MonotonicTime, RunId, ServiceName, UpstreamId, UpstreamVersion},
         limits::{
             DEFAULT_SLOTS, FAILURES_BEFORE_REST, FIRST_REST, FOREIGN_LOAD_MEMORY, FORGOTTEN_RUN,
             FULL_REST, LONGEST_REST, MEAN_WEIGHT,
@@ -12,7 +12,7 @@
         speed::Speed,
     },
     serde::{Deserialize, Serialize},
-    std::{collections::HashMap, time::Duration},
+    std::{cmp::Reverse, collections::HashMap, time::Duration},
 };
 
 /// An upstream's entry in the registry.
@@ -30,6 +30,13 @@
     pub slots: Option<u32>,
     /// Whether it takes new requests.
     pub phase: UpstreamPhase,
+    /// The version of its software.
+    #[serde(default = "unknown_version")]
+    pub version: UpstreamVersion,
+}
+
+fn unknown_version() -> UpstreamVersion {
+    "".into()
 }
 
 /// Whether an upstream takes new requests.
@@ -49,6 +56,8 @@
     pub(crate) tokens_before_first: f64,
     pub(crate) first_expected_at: MonotonicTime,
     pub(crate) end_expected_at: MonotonicTime,
+    /// Whether it was counted as failed since it takes far too long.
+    pub(crate) is_overdue: bool,
 }
 
 /// An upstream with what its owner knows of it.
@@ -60,6 +69,8 @@
     pub(crate) cached: CachedParts,
     /// Share of the last runs that failed.
     pub(crate) failure_rate: f64,
+    /// Canaries that it got, while its version was new.
+    pub(crate) canaries: u32,
     /// Requests there that this owner did not place, and until when that is believed.
     foreign_runs: u32,
     foreign_until: MonotonicTime,
@@ -78,6 +89,7 @@
             speed,
             cached: CachedParts::new(cache_tokens),
             failure_rate: 0.0,
+            canaries: 0,
             foreign_runs: 0,
             foreign_until: Duration::ZERO,
             failures_in_row: 0,
@@ -87,6 +99,18 @@
         }
     }
 
+    /// Lets it rest until a time.
+    pub(crate) fn hold(&mut self, until: MonotonicTime) {
+        self.rests_until = self.rests_until.max(until);
+    }
+
+    /// Orders upstreams by who gets the next canary: all in turn, so that one faulty upstream does not stand for its
+    /// version, and each as many as run at once, so that they meet some load.
+    pub(crate) fn canary_turn(&self) -> (u32, Reverse<u32>) {
+        let slots = self.slots();
+        (self.canaries / slots, Reverse(self.canaries % slots))
+    }
+
     /// Requests that run at once.
     pub(crate) fn slots(&self) -> u32 {
         self.entry.slots.unwrap_or(DEFAULT_SLOTS).max(1)
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -15,7 +15,8 @@
     },
     dragonflystep_dispatch::{
         Ask, Catalogue, Dispatcher, Ended, Engine, Event, QuotaRules, Refusal, RefusalReason,
-        RunId, RunOutcome, Service, SharedLimits, Upstream, UpstreamPhase, Verdict, WorkSize,
+        RolloutRules, RunId, RunOutcome, Service, SharedLimits, Upstream, UpstreamPhase, Verdict,
+        WorkSize,
     },
     std::{
         collections::{BTreeMap, BinaryHeap, HashMap},
@@ -106,6 +107,10 @@
             tolerated_share: 0.1,
             tolerated_units: 190_000.0,
         },
+        rollout: RolloutRules {
+            exposed_share: 0.1,
+            exposed_slack: 50.0,
+        },
     }
 }
 
@@ -117,6 +122,7 @@
         data_centre: "a".into(),
         slots: Some(slots),
         phase: UpstreamPhase::Ready,
+        version: "v1".into(),
     }
 }
 
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod platform;
 mod relay;
 mod request;
+mod rollouts;
 mod server;
 mod settings;
 mod settings_file;
@@ -44,12 +45,15 @@
     burn::{EdgeBurnReport, RouteBurn},
     dialect::{AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, UpstreamFacts},
     limits::OWNER_FEED_WAIT,
-    list_version::{ListReading, era_of, is_older_copy, recalls_before},
+    list_version::{
+        ListReading, era_of, is_older_copy, is_same_order, order_number, recalls_before,
+    },
     logs::{LogBuffer, LogError, start_log},
     metrics::Metrics,
     node::{Node, NodeError, run_node},
     placing::{Place, RunFigures, obtain as obtain_place},
     platform::{Platform, PlatformFuture},
+    rollouts::RolloutNews,
     settings::{MemberRecord, NodeSettings},
     settings_file::{SettingsError, read_settings},
     stop::stop_signal,
--- a/crates/dragonflystep_edge/src/list_version.rs
+++ b/crates/dragonflystep_edge/src/list_version.rs
@@ -65,6 +65,25 @@
     is_of_earlier_era || read_in_era < era && recalls_before(known, era)
 }
 
+/// The number of an order that was written in a transaction of an era; comparable with [`era_of`].
+pub fn order_number(era: u64, transaction: u64) -> u64 {
+    era << ERA_SHIFT | transaction
+}
+
+/// Whether two numbers of orders with the same content are of one order: a store that returned from an older copy has it
+/// under another number.
+///
+/// # Examples
+/// ```
+/// use dragonflystep_edge::{is_same_order, order_number};
+///
+/// assert!(is_same_order(order_number(1, 90), order_number(2, 70)));
+/// assert!(!is_same_order(order_number(1, 90), order_number(1, 95)));
+/// ```
+pub fn is_same_order(number: u64, other: u64) -> bool {
+    number == other || era_of(number) != era_of(other)
+}
+
 /// The era of the store in which a list of version `known` was read.
 pub fn era_of(known: u64) -> u64 {
     known >> ERA_SHIFT
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -16,6 +16,7 @@
         peer_service::serve_peers,
         placing::EntryRuns,
         platform::Platform,
+        rollouts::Rollouts,
         server::{Door, serve_door},
         settings::{MemberRecord, NodeSettings},
         stop::{StopSignal, stop},
@@ -78,6 +79,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) views: Views,
     pub(crate) list_fetches: ListFetches,
+    pub(crate) rollouts: Rc<Rollouts>,
     pub(crate) stop: StopSignal,
     /// Settings that a reload may change.
     pub(crate) stop_grace: Cell<Duration>,
@@ -111,8 +113,9 @@
             peers: settings.peers_advertised.to_string(),
             cpu_share: settings.cpu_share,
         };
+        let rollouts = Rc::new(Rollouts::default());
         Self {
-            owner: Rc::new(Owner::new(settings.shared_limits)),
+            owner: Rc::new(Owner::new(settings.shared_limits, rollouts.clone())),
             members: Members::new(own, network),
             entry_runs: EntryRuns::new(
                 settings.shared_limits.quota.window,
@@ -123,6 +126,7 @@
             metrics: Metrics::default(),
             views: Views::default(),
             list_fetches: ListFetches::default(),
+            rollouts,
             stop: StopSignal::default(),
             stop_grace: Cell::new(settings.stop_grace),
             address_lifetime: Cell::new(settings.address_lifetime),
@@ -412,6 +416,7 @@
     spawn_local(exchange_views(node.clone()));
     spawn_local(watch_reach(node.clone()));
     spawn_local(keep_house(node.clone()));
+    spawn_local(publish_rollouts(node.clone(), platform.clone()));
     spawn_local(platform.clone().follow(node.clone()));
     log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation, is_first_start = node.settings.is_first_start; "node started");
     told_to_stop.await?;
@@ -433,6 +438,17 @@
     }
 }
 
+/// Has the platform told of the steps that this node takes with roll-outs, for as long as the node runs.
+async fn publish_rollouts(node: Rc<Node>, platform: Rc<dyn Platform>) {
+    loop {
+        let step = node.rollouts.next_step().await;
+        let order = &step.order;
+        log::info!(service:% = order.service, to:% = order.to, number = order.number, phase:? = step.phase, evidence:% = step.reason; "roll-out step");
+        node.metrics.count("rollout_steps_total", step.phase.name());
+        spawn_local(platform.clone().publish_rollout(node.clone(), step));
+    }
+}
+
 async fn keep_house(node: Rc<Node>) {
     loop {
         sleep(HOUSEKEEPING_INTERVAL).await;
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -20,6 +20,7 @@
             is_leaving: self.stop.is_stopping(),
             members_version: self.members.list().told_version(),
             platform_heard: self.platform_silence(),
+            rollouts: self.encoded_rollouts(),
             ..Digest::default()
         }
     }
@@ -96,6 +97,7 @@
         self.members.set_leaving(&theirs.node, theirs.is_leaving);
         self.members
             .set_misses_us(&theirs.node, &theirs.unavailable);
+        self.learn_rollouts(&theirs.rollouts, &theirs.node);
         if let Some(changes) = from_json(&theirs.members, "list of nodes", &theirs.node) {
             self.learn_member_changes(changes, &theirs.node);
         }
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -1,7 +1,10 @@
 //! The owner's side of a node: the dispatcher, those who wait for its verdicts, and its clock.
 
 use {
-    crate::limits::{BELIEF_LOG_INTERVAL, BUSY_TICK, IDLE_TICK},
+    crate::{
+        limits::{BELIEF_LOG_INTERVAL, BUSY_TICK, IDLE_TICK},
+        rollouts::Rollouts,
+    },
     dragonflystep_dispatch::{
         Ask, Dispatcher, Effect, Ended, Event, Grant, MonotonicTime, PoolSummary, Reach,
         RefusalReason, RunId, RunOutcome, RunningRun, ServiceName, SharedLimits, Verdict,
@@ -26,10 +29,11 @@
     waiting: RefCell<HashMap<RunId, oneshot::Sender<Verdict>>>,
     reach: Cell<Reach>,
     something_waits: Notify,
+    rollouts: Rc<Rollouts>,
 }
 
 impl Owner {
-    pub(crate) fn new(limits: SharedLimits) -> Self {
+    pub(crate) fn new(limits: SharedLimits, rollouts: Rc<Rollouts>) -> Self {
         Self {
             started: Instant::now(),
             dispatcher: RefCell::new(Dispatcher::new(limits)),
@@ -39,6 +43,7 @@
                 known: 1,
             }),
             something_waits: Notify::new(),
+            rollouts,
         }
     }
 
@@ -58,7 +63,11 @@
 
     /// Hands an event to the dispatcher and its verdicts to those who wait for them.
     pub(crate) fn apply(&self, event: Event) {
-        let effects = self.dispatcher.borrow_mut().reduce(self.now(), event);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let effects = dispatcher.reduce(self.now(), event);
+        let steps = dispatcher.take_rollout_steps();
+        drop(dispatcher);
+        self.rollouts.push_steps(steps);
         for effect in effects {
             self.deliver(effect);
         }
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::settings::NodeSettings,
-    dragonflystep_dispatch::{DataCentreName, NodeName, QuotaRules, SharedLimits},
+    dragonflystep_dispatch::{DataCentreName, NodeName, QuotaRules, RolloutRules, SharedLimits},
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
 };
@@ -11,6 +11,10 @@
 /// nodes that may stop at any moment; a call for it costs a node far less than a request.
 const ADDRESS_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Share of a service's requests that a bad version may get where operators state none; the usual first step of a
+/// progressive delivery.
+const EXPOSED_SHARE: f64 = 0.05;
+
 /// Share of the descriptors that callers' connections may use; the rest is for upstreams and nodes.
 const CLIENT_DESCRIPTOR_SHARE: f64 = 0.5;
 
@@ -47,6 +51,9 @@
     address_lifetime_limit_s: f64,
     retries: Retries,
     quotas: Quotas,
+    /// Absent where operators order no roll-outs.
+    #[serde(default)]
+    rollouts: Rollouts,
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     first_start: bool,
@@ -80,6 +87,22 @@
     tolerated_units: f64,
 }
 
+/// How many requests a version may get that turns out to be bad.
+#[derive(Clone, Debug, Deserialize)]
+struct Rollouts {
+    exposed_share: f64,
+    exposed_slack: f64,
+}
+
+impl Default for Rollouts {
+    fn default() -> Self {
+        Self {
+            exposed_share: EXPOSED_SHARE,
+            exposed_slack: 0.0,
+        }
+    }
+}
+
 /// Reads the settings of a node, and the part that belongs to the platform's adapter.
 ///
 /// # Errors
@@ -130,6 +153,10 @@
                 tolerated_share: file.quotas.tolerated_share,
                 tolerated_units: file.quotas.tolerated_units,
             },
+            rollout: RolloutRules {
+                exposed_share: file.rollouts.exposed_share,
+                exposed_slack: file.rollouts.exposed_slack,
+            },
         },
         stop_grace: Duration::from_secs_f64(file.stop_grace_s),
         address_lifetime: ADDRESS_LIFETIME
@@ -189,6 +216,16 @@
             "quotas.tolerated_units",
             "must be 0 or more",
         ),
+        (
+            !(0.0..=1.0).contains(&file.rollouts.exposed_share),
+            "rollouts.exposed_share",
+            "must be 0 to 1",
+        ),
+        (
+            !(0.0..=1e9).contains(&file.rollouts.exposed_slack),
+            "rollouts.exposed_slack",
+            "must be 0 or more",
+        ),
         (
             !is_time(file.retries.window_s),
             "retries.window_s",
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -76,6 +76,8 @@
   isLeaving @8 :Bool;
   # Time since the platform answered this node, or one of which it heard.
   platformHeardUs @9 :UInt64;
+  # Roll-outs that the node knows of; empty when there are none.
+  rollouts @10 :Data;
 }
 
 interface Peer {
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -310,6 +310,7 @@
     out.set_platform_heard_us(to_us(digest.platform_heard));
     out.set_members_version(digest.members_version);
     out.set_members(&digest.members);
+    out.set_rollouts(&digest.rollouts);
 }
 
 pub(crate) fn decode_digest(input: digest::Reader<'_>) -> Result<Digest, PeerError> {
@@ -323,5 +324,6 @@
         platform_heard: Duration::from_micros(input.get_platform_heard_us()),
         members_version: input.get_members_version(),
         members: input.get_members()?.to_vec(),
+        rollouts: input.get_rollouts()?.to_vec(),
     })
 }
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -84,6 +84,8 @@
     pub is_leaving: bool,
     /// Time since the platform answered it, or a node that told it so.
     pub platform_heard: Duration,
+    /// Roll-outs that it knows of; empty when there are none.
+    pub rollouts: Vec<u8>,
 }
 
 /// Durations cross the wire as whole microseconds.
