Give out whole quotas only to a node that most nodes have called lately

What a node sees is what has not failed yet: nodes that were not tried count as there, and the other first owner, which lies among the nodes that are cut off, has heard from all of them until then. So each node to which the requests there come in turn gave out a majority's share.

How: the share of quotas goes by the nodes that called this one, or answered its calls, within 1.2 s; a request for a place counts as a call. A node that has just started has heard a part of those that would call it in that time, and counts in proportion. Reach, places and ownership stay as they were. The bound: on either side of a cut an owner gives out a whole quota for at most 1.2 s after the last call of the others, and only if a majority called it before, which only the first owners are by others than those on their side; every other node has a share of a minority from its first grant on.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -66,6 +66,8 @@
     UpstreamsChanged(Vec<Upstream>),
     /// How much of the system this node sees.
     ReachChanged(Reach),
+    /// How many of the nodes have called this one lately, or answered its calls.
+    HeardChanged(Reach),
     /// An upstream said that requests wait there.
     LoadObserved(UpstreamLoad),
     /// An operator orders that a service's requests move to another version, or the order is known better.
@@ -108,6 +110,8 @@
 pub struct Dispatcher {
     retry_limits: RetryLimits,
     share: f64,
+    /// Share of the accounts' quotas, by the nodes that were heard lately.
+    quota_share: f64,
     pools: HashMap<ServiceName, ServicePool>,
     quotas: Quotas,
     suspects: CrashSuspects,
@@ -121,6 +125,7 @@
         Self {
             retry_limits: limits.retries(),
             share: 1.0,
+            quota_share: 1.0,
             pools: HashMap::new(),
             quotas: Quotas::new(limits.quota),
             suspects: CrashSuspects::default(),
@@ -164,6 +169,9 @@
                     pool.limit_places(places);
                 }
             }
+            Event::HeardChanged(heard) => {
+                self.quota_share = member_share(heard.visible, heard.known);
+            }
             Event::LoadObserved(load) => {
                 if let Some(pool) = self.pools.get_mut(&load.service) {
                     pool.load_observed(now, &load);
@@ -253,7 +261,8 @@
         }
         let account = ask.account.as_ref()?;
         let units = f64::from(ask.quota_units);
-        match self.quotas.take(now, account, units, self.share) {
+        let share = self.share.min(self.quota_share);
+        match self.quotas.take(now, account, units, share) {
             Ok(()) => None,
             Err(wait) => Some(refuse(RefusalReason::QuotaExceeded, wait)),
         }
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -48,6 +48,13 @@
 /// How long a node counts as unavailable after others said so; longer than two exchanges.
 pub(crate) const SUSPICION_HOLDS: Duration = Duration::from_millis(1_500);
 
+/// Time within which the nodes have called an owner that counts them to its side when it gives out quotas; longer than the
+/// longest time between two exchanges of views (0.96 s).
+pub(crate) const HEARD_LATELY: Duration = Duration::from_millis(1_200);
+
+/// Share of that time for which a node that has just started counts as listening at least.
+pub(crate) const SHORTEST_HEARING: f64 = 0.1;
+
 /// Silence of a node towards an owner from which on what others say of it counts; longer than the longest time between
 /// two exchanges (0.96 s), so that a node which runs has called meanwhile.
 pub(crate) const SUSPECT_SILENCE: Duration = Duration::from_millis(1_200);
--- a/crates/dragonflystep_edge/src/members/reachability.rs
+++ b/crates/dragonflystep_edge/src/members/reachability.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Members, Other},
-    crate::limits::{CUT_OFF_FROM_OWNER, SMALL_SYSTEM_NODES},
+    crate::limits::{CUT_OFF_FROM_OWNER, HEARD_LATELY, SMALL_SYSTEM_NODES},
     dragonflystep_dispatch::{MonotonicTime, NodeName},
     dragonflystep_peer::PeerError,
 };
@@ -102,6 +102,12 @@
         self.suspicions.borrow_mut().heard(now, node);
     }
 
+    /// Nodes that called this one lately, or answered it, itself included.
+    pub(crate) fn heard_lately_count(&self, now: MonotonicTime) -> usize {
+        let suspicions = self.suspicions.borrow();
+        suspicions.heard_within(now, HEARD_LATELY) + 1
+    }
+
     /// Takes in which nodes do not answer a calling node; counts where all nodes call this one.
     pub(crate) fn accused(&self, now: MonotonicTime, nodes: &[NodeName], is_called_by_all: bool) {
         let mut suspicions = self.suspicions.borrow_mut();
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -8,7 +8,7 @@
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
         exchange::{exchange_views, watch_reach},
-        limits::OWNERS_KEY,
+        limits::{HEARD_LATELY, OWNERS_KEY, SHORTEST_HEARING},
         list_fetch::ListFetches,
         members::Members,
         metrics::Metrics,
@@ -338,6 +338,7 @@
 
     /// Tells the owner's side how many of the nodes are seen.
     pub(crate) fn update_reach(&self) {
+        self.update_heard();
         let known = self.members.known_count();
         // Nodes that were not tried count as seen. Where none of those that were tried answers, the others are no
         // more to be seen: nodes that are each cut off by themselves would count themselves to the majority, and each
@@ -358,6 +359,19 @@
         }
     }
 
+    /// Tells the owner's side how many of the nodes were heard lately. What this node sees may be of the time before a cut;
+    /// what it hears is of now.
+    pub(crate) fn update_heard(&self) {
+        let now = self.owner.now();
+        let known = self.members.known_count();
+        let heard = self.members.heard_lately_count(now);
+        // A node that has just started has heard a part of those that would call it within that time.
+        let share_of_time = now.as_secs_f64() / HEARD_LATELY.as_secs_f64();
+        let expected = heard as f64 / share_of_time.clamp(SHORTEST_HEARING, 1.0);
+        let visible = (expected as usize).min(known);
+        self.owner.set_heard(Reach { visible, known });
+    }
+
     /// Figures of the moment for the metrics page.
     pub(crate) fn gauges(&self) -> Vec<(&'static str, f64)> {
         let now = self.owner.now();
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -28,6 +28,8 @@
     dispatcher: RefCell<Dispatcher>,
     waiting: RefCell<HashMap<RunId, oneshot::Sender<Verdict>>>,
     reach: Cell<Reach>,
+    /// The nodes that were heard lately.
+    heard: Cell<Reach>,
     something_waits: Notify,
     rollouts: Rc<Rollouts>,
 }
@@ -42,6 +44,10 @@
                 visible: 1,
                 known: 1,
             }),
+            heard: Cell::new(Reach {
+                visible: 1,
+                known: 1,
+            }),
             something_waits: Notify::new(),
             rollouts,
         }
@@ -93,6 +99,18 @@
         Some(before)
     }
 
+    /// Notes how many of the nodes were heard lately.
+    pub(crate) fn set_heard(&self, heard: Reach) {
+        if self.heard.replace(heard) != heard {
+            self.apply(Event::HeardChanged(heard));
+        }
+    }
+
+    /// Whether most nodes were heard lately.
+    pub(crate) fn hears_majority(&self) -> bool {
+        self.heard.get().is_majority()
+    }
+
     /// Asks for a place and waits for the verdict; dropping the future withdraws the request.
     pub(crate) async fn ask(self: Rc<Self>, ask: Ask) -> Verdict {
         let (sender, receiver) = oneshot::channel();
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -3,7 +3,8 @@
 use {
     crate::{exchange::exchange_with, list_fetch::fetch_if_newer, node::Node, owner::cancelled},
     dragonflystep_dispatch::{
-        Ask, Ended, Event, RunId, RunningRun, ServiceName, SpendingReport, UpstreamLoad, Verdict,
+        Ask, Ended, Event, NodeName, RunId, RunningRun, ServiceName, SpendingReport, UpstreamLoad,
+        Verdict,
     },
     dragonflystep_peer::{
         Digest, ListPiece, ListPieceAsk, PeerHandler, PeerListener, VerdictFuture, serve_peer,
@@ -28,6 +29,7 @@
         };
         let session = Rc::new(PeerSession {
             node: node.clone(),
+            peer: RefCell::default(),
             runs: Rc::default(),
         });
         spawn_local(serve_peer(stream, session));
@@ -37,11 +39,33 @@
 /// One connection of another node, with the places given to it.
 struct PeerSession {
     node: Rc<Node>,
+    /// The other node, once it has said who it is.
+    peer: RefCell<Option<NodeName>>,
     runs: Rc<RefCell<HashMap<RunId, ServiceName>>>,
 }
 
+impl PeerSession {
+    fn note_peer(&self, peer: &NodeName) {
+        if self.peer.borrow().is_none() {
+            self.peer.replace(Some(peer.clone()));
+        }
+    }
+
+    /// Notes that the other node asks this one for places, which shows as well as an exchange of views that it is there.
+    fn note_asked(&self) {
+        let (node, peer) = (&self.node, self.peer.borrow());
+        if let Some(peer) = &*peer {
+            node.members.heard(node.owner.now(), peer);
+        }
+        if !node.owner.hears_majority() {
+            node.update_heard();
+        }
+    }
+}
+
 impl PeerHandler for PeerSession {
     fn ask(&self, ask: Ask) -> VerdictFuture {
+        self.note_asked();
         let (run, service) = (ask.run, ask.service.clone());
         let runs = self.runs.clone();
         let verdict = self.node.owner.clone().ask(ask);
@@ -68,6 +92,7 @@
     }
 
     fn spent(&self, report: SpendingReport) {
+        self.note_peer(&report.node);
         self.node.owner.apply(Event::SpendingTold(report));
     }
 
@@ -80,6 +105,7 @@
     }
 
     fn exchange(&self, digest: Digest) -> Digest {
+        self.note_peer(&digest.node);
         self.node.called_by(&digest);
         fetch_if_newer(&self.node, &digest);
         if self.node.members.has_failed(&digest.node) {
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -222,6 +222,7 @@
     ask.objective_left = objective_left.saturating_sub(started.elapsed());
     ask.time_left = time_left.saturating_sub(started.elapsed());
     let owner = (node.settings.node.clone(), 0);
+    node.update_heard();
     let now = node.owner.now();
     for run in node.entry_runs.move_to(now, &ask.service, &owner) {
         node.owner.adopt(run);
--- a/crates/dragonflystep_edge/src/suspicion.rs
+++ b/crates/dragonflystep_edge/src/suspicion.rs
@@ -8,7 +8,10 @@
 use {
     crate::limits::{NEW_OWNER_CALLED, REFUTED_BY_A_HEAL, SUSPECT_SILENCE, SUSPICION_HOLDS},
     dragonflystep_dispatch::{MonotonicTime, NodeName},
-    std::collections::{HashMap, HashSet},
+    std::{
+        collections::{HashMap, HashSet},
+        time::Duration,
+    },
 };
 
 /// What an owner of services said last of nodes that take no requests.
@@ -120,6 +123,14 @@
             || now < self.agreed_until && self.agreed.contains(node)
     }
 
+    /// Nodes that called this one, or answered it, within a time.
+    pub(crate) fn heard_within(&self, now: MonotonicTime, time: Duration) -> usize {
+        let heard_at = self.heard_at.values();
+        heard_at
+            .filter(|at| now.saturating_sub(**at) <= time)
+            .count()
+    }
+
     /// Nodes that this one takes for gone by what callers say, to be told those who ask.
     pub(crate) fn suspects(&mut self, now: MonotonicTime) -> Vec<NodeName> {
         self.suspected_until.retain(|_, until| now < *until);
