--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -52,10 +52,10 @@
     Withdrawn(ServiceName, RunId),
     /// A run ended.
     Ended(Ended),
-    /// An entry told of a run that another owner granted.
+    /// An entry reported a run that another owner granted.
     Adopted(RunningRun),
-    /// An entry told what accounts spent through it, before it asks this owner.
-    SpendingTold(SpendingReport),
+    /// An entry reported what accounts spent through it, before it asks this owner.
+    SpendingReported(SpendingReport),
     /// The list of nodes changed; their number.
     NodesListed(usize),
     /// The limits for all nodes together changed.
@@ -139,7 +139,7 @@
         std::mem::take(&mut self.rollout_steps)
     }
 
-    /// Takes in what happened at `now` and returns the verdicts that follow.
+    /// Applies what happened at `now` and returns the verdicts that follow.
     pub fn reduce(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
         match event {
@@ -150,7 +150,7 @@
                 let pool = self.pools.entry(running.ask.service.clone()).or_default();
                 pool.adopted(now, running);
             }
-            Event::SpendingTold(report) => self.quotas.told(now, report),
+            Event::SpendingReported(report) => self.quotas.apply_report(now, report),
             Event::NodesListed(nodes) => self.quotas.set_listed(now, nodes),
             Event::LimitsChanged(limits) => {
                 self.retry_limits = limits.retries();
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -103,13 +103,13 @@
 /// of large quotas more than the tolerance.
 pub(crate) const QUOTA_TOLERANCE_USE: f64 = 0.4;
 
-/// Share of the tolerance of quotas with which an account begins at an owner that was told nothing of the time
+/// Share of the tolerance of quotas with which an account begins at an owner without reports of the time
 /// before; six such owners within a window take less than a third of the tolerance. With nothing at all, the first
 /// request of an account after a start of all nodes would be refused.
-pub(crate) const UNTOLD_START_SHARE: f64 = 0.05;
+pub(crate) const UNREPORTED_START_SHARE: f64 = 0.05;
 
 /// Such owners within a window that the tolerance covers for accounts of any size.
-pub(crate) const UNTOLD_STARTS_COVERED: f64 = 4.0;
+pub(crate) const UNREPORTED_STARTS_COVERED: f64 = 4.0;
 
 /// Share of an account's quota that nodes which see no majority may give out together, at most: less than half
 /// of the nodes, each part with the minority's share of its fraction.
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -27,7 +27,7 @@
 }
 
 impl ServicePool {
-    /// Takes in what an upstream said of its load.
+    /// Records what an upstream said of its load.
     pub(crate) fn load_observed(&mut self, now: MonotonicTime, load: &UpstreamLoad) {
         let upstream = self
             .upstreams
--- a/crates/dragonflystep_dispatch/src/quota.rs
+++ b/crates/dragonflystep_dispatch/src/quota.rs
@@ -3,13 +3,13 @@
 mod handover;
 
 use {
-    self::handover::{Told, ToldSpending},
+    self::handover::{ReportEffect, ReportedUsage},
     crate::{
         catalogue::AccountQuota,
         ids::{AccountName, MonotonicTime},
         limits::{
-            MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, QUOTA_TOLERANCE_USE, UNTOLD_START_SHARE,
-            UNTOLD_STARTS_COVERED,
+            MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, QUOTA_TOLERANCE_USE,
+            UNREPORTED_START_SHARE, UNREPORTED_STARTS_COVERED,
         },
         spending::SpendingReport,
     },
@@ -33,7 +33,7 @@
     rules: QuotaRules,
     limits: HashMap<AccountName, AccountQuota>,
     buckets: HashMap<AccountName, Bucket>,
-    told: ToldSpending,
+    reported: ReportedUsage,
 }
 
 #[derive(Debug)]
@@ -43,9 +43,9 @@
     largest_units: f64,
     filled_at: MonotonicTime,
     began_at: MonotonicTime,
-    /// What it began with, by what entries had told up to `told_version`.
+    /// What it began with, by the entries' reports up to `reports_version`.
     began_with: f64,
-    told_version: Option<u64>,
+    reports_version: Option<u64>,
 }
 
 impl Quotas {
@@ -54,7 +54,7 @@
             rules,
             limits: HashMap::new(),
             buckets: HashMap::new(),
-            told: ToldSpending::default(),
+            reported: ReportedUsage::default(),
         }
     }
 
@@ -70,14 +70,14 @@
         self.limits = limits;
     }
 
-    /// Takes in how many nodes are listed.
+    /// Records how many nodes are listed.
     pub(crate) fn set_listed(&mut self, now: MonotonicTime, nodes: usize) {
-        self.told.set_listed(now, self.rules.window, nodes);
+        self.reported.set_listed(now, self.rules.window, nodes);
     }
 
-    /// Takes in what an entry tells of the time before it asked this owner.
-    pub(crate) fn told(&mut self, now: MonotonicTime, report: SpendingReport) {
-        if self.told.told(now, self.rules.window, report) == Told::Anew {
+    /// Applies an entry's report of the time before it asked this owner.
+    pub(crate) fn apply_report(&mut self, now: MonotonicTime, report: SpendingReport) {
+        if self.reported.apply_report(now, self.rules.window, report) == ReportEffect::Reset {
             self.buckets.clear();
         }
     }
@@ -93,13 +93,13 @@
         let Some(quota) = self.limits.get(account) else {
             return Ok(());
         };
-        let (told, window) = (&self.told, self.rules.window);
+        let (reported, window) = (&self.reported, self.rules.window);
         let bucket = self
             .buckets
             .entry(account.clone())
             .or_insert_with(|| Bucket::new(now));
-        let credit = untold_credit(&self.rules, quota);
-        bucket.take_in(told, window, (account, quota), credit, share);
+        let credit = unreported_credit(&self.rules, quota);
+        bucket.apply_reports(reported, window, (account, quota), credit, share);
         bucket.largest_units = bucket.largest_units.max(units);
         let (rate, burst) = bucket_of(&self.rules, quota, share, bucket.largest_units);
         let passed = now.saturating_sub(bucket.filled_at).as_secs_f64();
@@ -133,25 +133,25 @@
             filled_at: now,
             began_at: now,
             began_with: 0.0,
-            told_version: None,
+            reports_version: None,
         }
     }
 
-    /// Corrects what it began with by what entries told since the last look.
-    fn take_in(
+    /// Corrects what it began with by what entries have reported since.
+    fn apply_reports(
         &mut self,
-        told: &ToldSpending,
+        reported: &ReportedUsage,
         window: Duration,
         (account, quota): (&AccountName, &AccountQuota),
         credit: f64,
         share: f64,
     ) {
-        if self.told_version == Some(told.version()) {
+        if self.reports_version == Some(reported.version()) {
             return;
         }
-        self.told_version = Some(told.version());
-        let level = told.level_at(self.began_at, window, account, quota)
-            + credit * told.unknown_share(self.began_at, window);
+        self.reports_version = Some(reported.version());
+        let level = reported.level_at(self.began_at, window, account, quota)
+            + credit * reported.unknown_share(self.began_at, window);
         let level = level.min(quota.burst_units) * share.min(1.0);
         self.units += level - self.began_with;
         self.began_with = level;
@@ -160,8 +160,8 @@
 
 /// Rate and size of the bucket of an account, at a node with `share` of the common limits.
 ///
-/// What the tolerance leaves beside parts of the nodes that do not see each other, and owners that were told
-/// nothing, goes into the rate, so that an account that keeps within its quota is hardly ever refused. A node
+/// What the tolerance leaves beside parts of the nodes that do not see each other, and owners without
+/// reports, goes into the rate, so that an account that keeps within its quota is hardly ever refused. A node
 /// that sees no majority keeps clear of the tolerance.
 fn bucket_of(
     rules: &QuotaRules,
@@ -189,9 +189,9 @@
     plain_use(rules, quota) * rules.tolerated_share + rules.tolerated_units
 }
 
-/// Units with which an account begins at an owner that was told nothing.
-fn untold_credit(rules: &QuotaRules, quota: &AccountQuota) -> f64 {
-    (tolerance(rules, quota) * UNTOLD_START_SHARE).min(quota.burst_units)
+/// Units with which an account begins at an owner without reports.
+fn unreported_credit(rules: &QuotaRules, quota: &AccountQuota) -> f64 {
+    (tolerance(rules, quota) * UNREPORTED_START_SHARE).min(quota.burst_units)
 }
 
 /// Units beyond the plain quota that an owner may give out within a window.
@@ -199,7 +199,7 @@
     let tolerance = tolerance(rules, quota);
     let for_minorities = plain_use(rules, quota) * MINORITIES_QUOTA_SHARE;
     let for_largest = (largest_units - quota.burst_units).max(0.0);
-    let for_starts = UNTOLD_STARTS_COVERED * untold_credit(rules, quota);
+    let for_starts = UNREPORTED_STARTS_COVERED * unreported_credit(rules, quota);
     let left = tolerance - for_minorities - for_starts - for_largest;
     left.max(tolerance * QUOTA_TOLERANCE_USE)
 }
--- a/crates/dragonflystep_dispatch/src/quota/handover.rs
+++ b/crates/dragonflystep_dispatch/src/quota/handover.rs
@@ -1,4 +1,4 @@
-//! What a new owner of the quotas is told of the time before it, and what accounts have left by that.
+//! What entries report to a new owner of the quotas of the time before it, and what accounts have left by that.
 
 use {
     crate::{
@@ -9,14 +9,14 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// What entries told of accounts' spending before they asked this owner.
+/// Accounts' spending that entries reported before they asked this owner.
 #[derive(Debug, Default)]
-pub(crate) struct ToldSpending {
+pub(crate) struct ReportedUsage {
     entries: HashMap<NodeName, KnownEntry>,
-    accounts: HashMap<AccountName, Vec<ToldSlice>>,
+    accounts: HashMap<AccountName, Vec<ReportedSlice>>,
     /// Nodes that were listed, with the time up to which they were.
     listed: Vec<(usize, MonotonicTime)>,
-    /// Counts what was told, to notice when there is something new.
+    /// Counts the reports, to notice a new one.
     version: u64,
 }
 
@@ -25,28 +25,28 @@
     /// Since when this owner knows all that went through it, in seconds of its clock; may lie before the
     /// clock's zero.
     since_s: f64,
-    told_at: MonotonicTime,
-    /// Whether another owner may have granted it something that it has not told.
+    reported_at: MonotonicTime,
+    /// Whether another owner may have granted it something that it has not reported.
     is_outdated: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct ToldSlice {
+struct ReportedSlice {
     at_s: f64,
     units: f64,
 }
 
 /// What a report means for what was known before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Told {
+pub(crate) enum ReportEffect {
     /// It adds to it.
-    More,
+    Added,
     /// Another owner granted meanwhile; buckets that were counted without it are wrong.
-    Anew,
+    Reset,
 }
 
-impl ToldSpending {
-    /// Changes whenever something was told.
+impl ReportedUsage {
+    /// Changes with each report.
     pub(crate) fn version(&self) -> u64 {
         self.version
     }
@@ -60,30 +60,30 @@
         self.listed.push((nodes, MonotonicTime::MAX));
     }
 
-    /// Takes in what an entry tells.
-    pub(crate) fn told(
+    /// Applies an entry's report.
+    pub(crate) fn apply_report(
         &mut self,
         now: MonotonicTime,
         window: Duration,
         report: SpendingReport,
-    ) -> Told {
-        let mut told = Told::More;
+    ) -> ReportEffect {
+        let mut effect = ReportEffect::Added;
         if let Some(known) = self.entries.get_mut(&report.node)
             && !known.is_outdated
         {
-            if !granted_by_others(&report, now.saturating_sub(known.told_at)) {
-                known.told_at = now;
-                return told;
+            if !granted_by_others(&report, now.saturating_sub(known.reported_at)) {
+                known.reported_at = now;
+                return effect;
             }
-            self.begin_anew(now);
-            told = Told::Anew;
+            self.reset(now);
+            effect = ReportEffect::Reset;
         }
         self.accept(now, window, report);
-        told
+        effect
     }
 
-    /// Forgets what was told: another node was the owner in between, and all entries will tell again.
-    fn begin_anew(&mut self, now: MonotonicTime) {
+    /// Forgets the reports: another node was the owner in between, and all entries report again.
+    fn reset(&mut self, now: MonotonicTime) {
         self.accounts.clear();
         for known in self.entries.values_mut() {
             known.since_s = now.as_secs_f64();
@@ -97,7 +97,7 @@
         let reach_s = report.covers.min(window).as_secs_f64();
         let known = KnownEntry {
             since_s: now_s - reach_s,
-            told_at: now,
+            reported_at: now,
             is_outdated: false,
         };
         // What this owner granted after that moment it has counted itself.
@@ -115,7 +115,7 @@
                 } else {
                     0.0
                 };
-                ToldSlice {
+                ReportedSlice {
                     at_s,
                     units: slice.units - counted,
                 }
@@ -123,10 +123,10 @@
         }
     }
 
-    /// What an account had left of its burst at `at`, by what entries told.
+    /// What an account had left of its burst at `at`, by the entries' reports.
     ///
-    /// That is the level of a bucket which was full a window before. Entries that have not told are taken to
-    /// have spent their part of all that the quota allowed, so that an owner which was told nothing begins
+    /// That is the level of a bucket which was full a window before. Entries that have not reported are assumed to
+    /// have spent their part of all that the quota allowed, so that an owner without reports begins
     /// with nothing.
     pub(crate) fn level_at(
         &self,
--- a/crates/dragonflystep_dispatch/src/rollout.rs
+++ b/crates/dragonflystep_dispatch/src/rollout.rs
@@ -275,7 +275,7 @@
         }
     }
 
-    /// Takes in how a run of either version ended.
+    /// Records how a run of either version ended.
     pub(crate) fn observe(
         &mut self,
         version: &UpstreamVersion,
--- a/crates/dragonflystep_dispatch/src/rollout/evidence.rs
+++ b/crates/dragonflystep_dispatch/src/rollout/evidence.rs
@@ -335,8 +335,8 @@
     // Slow upstreams of the old version may have got few requests, so that the new version's spread counts as well, where
     // enough upstreams tell it.
     let within = new.variance_within() / new.timed();
-    let is_told = new_count >= LEAST_UPSTREAMS;
-    let spread = if is_told {
+    let is_known = new_count >= LEAST_UPSTREAMS;
+    let spread = if is_known {
         new_spread.max(old_spread)
     } else {
         old_spread
--- a/crates/dragonflystep_dispatch/src/speed.rs
+++ b/crates/dragonflystep_dispatch/src/speed.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// What the runs of a service's routes told.
+/// Means learned from the runs of a service's routes.
 #[derive(Debug, Default)]
 pub(crate) struct RouteMeans {
     /// Events that came for each that was expected.
--- a/crates/dragonflystep_dispatch/src/spending.rs
+++ b/crates/dragonflystep_dispatch/src/spending.rs
@@ -23,7 +23,7 @@
     pub age: Duration,
     /// Units spent.
     pub units: f64,
-    /// Those of them that were granted by the owner that is told.
+    /// Those of them that the receiver of the report granted.
     pub units_granted_by_receiver: f64,
 }
 
@@ -136,7 +136,7 @@
                 slices: slices
                     .iter()
                     .rev()
-                    .map(|slice| self.told(now, slice, receiver))
+                    .map(|slice| self.slice_for(now, slice, receiver))
                     .collect(),
             });
         SpendingReport {
@@ -150,7 +150,7 @@
         }
     }
 
-    fn told(&self, now: MonotonicTime, slice: &Slice, receiver: &str) -> SpentSlice {
+    fn slice_for(&self, now: MonotonicTime, slice: &Slice, receiver: &str) -> SpentSlice {
         let ended_at = self.slice_length().mul_f64((slice.index + 1) as f64);
         let by_receiver = if &*slice.owner == receiver {
             slice.units
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -137,7 +137,7 @@
         self.runs.len() as u32 + foreign < places
     }
 
-    /// Takes in that requests wait here, which only happens when others than this owner place some.
+    /// Records that requests wait here, which only happens when others than this owner place some.
     pub(crate) fn note_load(&mut self, now: MonotonicTime, load: &UpstreamLoad) {
         if load.waiting == 0 {
             return;
@@ -203,7 +203,7 @@
         }
     }
 
-    /// Drops runs whose end was never told.
+    /// Drops runs whose end was never reported.
     pub(crate) fn forget_old_runs(&mut self, now: MonotonicTime) {
         self.runs
             .retain(|_, run| now < run.end_expected_at + run.ask.time_left.min(FORGOTTEN_RUN));
--- a/crates/dragonflystep_dispatch/tests/quota_owners.rs
+++ b/crates/dragonflystep_dispatch/tests/quota_owners.rs
@@ -155,7 +155,7 @@
             let owner_time = at - self.nodes[owner].started;
             self.nodes[owner]
                 .owner
-                .reduce(owner_time, Event::SpendingTold(report));
+                .reduce(owner_time, Event::SpendingReported(report));
         }
         self.runs += 1;
         self.asked += 1;
--- a/crates/dragonflystep_dispatch/tests/quotas.rs
+++ b/crates/dragonflystep_dispatch/tests/quotas.rs
@@ -142,7 +142,7 @@
 /// Tells an owner of all that went through an entry which has been running for long.
 fn tell(owner: &mut Dispatcher, at: Duration, ledger: &mut SpendingLedger) {
     let report = ledger.report(at, "entry".into(), "another owner");
-    owner.reduce(at, Event::SpendingTold(report));
+    owner.reduce(at, Event::SpendingReported(report));
 }
 
 #[test]
--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -18,7 +18,7 @@
 
 /// Exchanges views with this node's neighbours for as long as the node runs.
 pub(crate) async fn exchange_views(node: Rc<Node>) {
-    look_around(&node).await;
+    discover_peers(&node).await;
     loop {
         let interval = if node.members.listed_count() > SMALL_SYSTEM_NODES {
             EXCHANGE_INTERVAL * 2
@@ -48,7 +48,7 @@
 }
 
 /// Tries the neighbours as soon as the first list of nodes is known, so that the node soon knows what it sees.
-async fn look_around(node: &Rc<Node>) {
+async fn discover_peers(node: &Rc<Node>) {
     tokio::select! {
         () = node.members.first_listed() => {}
         () = sleep(EXCHANGE_INTERVAL) => return,
@@ -58,7 +58,7 @@
         .map(|partner| exchange_with(node.clone(), partner));
     let mut exchanges: FuturesUnordered<_> = exchanges.collect();
     while exchanges.next().await.is_some() {
-        if node.members.has_looked_around() {
+        if node.members.has_discovered_peers() {
             node.update_reach();
         }
     }
@@ -86,7 +86,7 @@
     partners
 }
 
-/// Sends what the other node lacks; it may have no other way to learn it.
+/// Sends what the other node is missing; it may have no other way to learn it.
 async fn tell_more(node: &Rc<Node>, peer: &NodeName, link: &PeerLink, theirs: &Digest) {
     let digest = node.digest_to_tell(theirs);
     if let Err(error) = link.exchange(&digest, EXCHANGE_TIMEOUT).await {
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -11,7 +11,7 @@
 pub(crate) const KEPT_CONNECTION_SHARE: f64 = 0.7;
 
 /// Time that a connection is kept whose upstream says nothing about it.
-pub(crate) const UNTOLD_KEEP_ALIVE: Duration = Duration::from_secs(3);
+pub(crate) const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(3);
 
 /// Unused connections kept for an upstream; as many as requests run there at once.
 pub(crate) const MOST_IDLE_CONNECTIONS: usize = 8;
@@ -22,8 +22,8 @@
 /// Time in which a neighbour has to answer an exchange; a slow machine takes several times the usual.
 pub(crate) const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Changed entries of a list that are told within an exchange of views, some 4 KB; what is more is fetched.
-pub(crate) const MOST_TOLD: usize = 16;
+/// Changed entries of a list that are piggybacked on an exchange of views, some 4 KB; what is more is fetched.
+pub(crate) const MAX_PIGGYBACKED: usize = 16;
 
 /// Bytes of a list that a node asks another one for at a time: 55 ms of a link at 3 Mbit/s, so that exchanges
 /// of views come through in between.
@@ -107,7 +107,7 @@
 pub(crate) const MOST_PLACES_ASKED: u32 = 6;
 
 /// Time that a caller has when it names none.
-pub(crate) const UNTOLD_TIME_LEFT: Duration = Duration::from_secs(30);
+pub(crate) const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
 
 /// Longest body of a plain answer, in bytes; a longer one is no answer of a plain call.
 pub(crate) const LONGEST_PLAIN_ANSWER_BYTES: usize = 16 << 20;
@@ -149,7 +149,7 @@
 /// callers. One that is full keeps the question waiting and is not used.
 pub(crate) const UPSTREAM_HEALTH_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// How long what an upstream said of that counts: with the time after which a node hears nobody, less than the
+/// How long what an upstream said of that counts: with the time after which a node is isolated, less than the
 /// 2 to 3 s after which a leaving upstream may get nothing.
 pub(crate) const UPSTREAM_HEALTH_HOLDS: Duration = Duration::from_millis(400);
 
--- a/crates/dragonflystep_edge/src/list_fetch.rs
+++ b/crates/dragonflystep_edge/src/list_fetch.rs
@@ -45,9 +45,9 @@
     partial: RefCell<Option<Partial>>,
     /// The last answers to other nodes; many ask for the same.
     answers: RefCell<VecDeque<Answer>>,
-    /// The newest version that another node told.
+    /// The newest version that another node announced.
     heard_version: Cell<u64>,
-    /// Since when nothing came of a newer version that another node told.
+    /// Since when nothing came of a newer version that another node announced.
     waits_since: Cell<Option<MonotonicTime>>,
 }
 
@@ -90,7 +90,7 @@
         }
     }
 
-    /// How long nothing has come of a newer version that another node told.
+    /// How long nothing has come of a newer version that another node announced.
     pub(crate) fn waits_for(&self, now: MonotonicTime) -> MonotonicTime {
         let since = self.waits_since.get();
         since.map_or(MonotonicTime::ZERO, |since| now.saturating_sub(since))
@@ -98,7 +98,7 @@
 }
 
 impl Node {
-    /// A piece of what a node lacks that has a version of a list.
+    /// A piece of what a node is missing that has a version of a list.
     pub(crate) fn list_piece(&self, ask: ListPieceAsk) -> ListPiece {
         let mut answers = self.list_fetches.of(ask.list).answers.borrow_mut();
         let is_kept = |answer: &Answer, leads_to: u64| {
@@ -167,12 +167,12 @@
     fn version(&self) -> u64;
 
     /// The version to tell other nodes.
-    fn told_version(&self) -> u64;
+    fn announced_version(&self) -> u64;
 
     /// Whether a list of `their_version` holds something new.
-    fn lacks(&self, their_version: u64) -> bool;
+    fn is_stale_against(&self, their_version: u64) -> bool;
 
-    /// What a node lacks that has a version; none if it lacks nothing, or this list is not whole itself.
+    /// What a node is missing that has a version; none if it is up to date, or this list is not whole itself.
     fn encoded_since(&self, version: u64) -> Option<Result<Vec<u8>, ChangesError>>;
 }
 
@@ -181,12 +181,12 @@
         self.version()
     }
 
-    fn told_version(&self) -> u64 {
-        self.told_version()
+    fn announced_version(&self) -> u64 {
+        self.announced_version()
     }
 
-    fn lacks(&self, their_version: u64) -> bool {
-        self.lacks(their_version)
+    fn is_stale_against(&self, their_version: u64) -> bool {
+        self.is_stale_against(their_version)
     }
 
     fn encoded_since(&self, version: u64) -> Option<Result<Vec<u8>, ChangesError>> {
@@ -223,7 +223,7 @@
     }
 }
 
-/// Fetches each list from the node that told `theirs` if it has a newer one, unless a fetch of that list is under way.
+/// Fetches each list from the node that sent `theirs` if it has a newer one, unless a fetch of that list is under way.
 ///
 /// Passed on with each exchange of views, a large list would come to a node from all its partners at once and fill its link;
 /// exchanges behind it would be late, and owners called gone. Fetched whole within a fixed time, it would never come where
@@ -231,7 +231,7 @@
 pub(crate) fn fetch_if_newer(node: &Rc<Node>, theirs: &Digest) {
     for list in LISTS {
         let version = version_of(theirs, list);
-        if !node.with_list(list, |known| known.lacks(version)) {
+        if !node.with_list(list, |known| known.is_stale_against(version)) {
             continue;
         }
         let fetches = node.list_fetches.of(list);
@@ -261,7 +261,7 @@
 ) -> Result<(), PeerError> {
     let fetches = node.list_fetches.of(list);
     let began_at = node.owner.now();
-    let base_version = node.with_list(list, |known| known.told_version());
+    let base_version = node.with_list(list, |known| known.announced_version());
     let begun = fetches.partial.take();
     let begun = begun.filter(|begun| begun.source == *source && begun.base_version == base_version);
     let mut partial = begun.unwrap_or_else(|| Partial {
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -58,7 +58,7 @@
     rankings: RefCell<HashMap<&'static str, Rc<[NodeName]>>>,
     suspicions: RefCell<Suspicions>,
     list_known: Notify,
-    has_looked_around: Cell<bool>,
+    has_discovered_peers: Cell<bool>,
 }
 
 impl Members {
@@ -71,7 +71,7 @@
             rankings: RefCell::default(),
             suspicions: RefCell::default(),
             list_known: Notify::new(),
-            has_looked_around: Cell::new(false),
+            has_discovered_peers: Cell::new(false),
         }
     }
 
@@ -107,7 +107,7 @@
         self.refresh_others(is_news)
     }
 
-    /// Takes over what another node told of the list; says whether it is news.
+    /// Applies what another node sent of the list; says whether it is news.
     pub(crate) fn apply_records(&self, changes: Changes<MemberRecord>) -> bool {
         let is_news = self.list.borrow_mut().apply(changes);
         self.refresh_others(is_news)
@@ -168,9 +168,9 @@
     ///
     /// A node that has just started knows a list of nodes and has heard none of them. Counting them as seen would make
     /// it an owner with the whole quota of each account, beside the owner that the others still ask.
-    pub(crate) fn has_looked_around(&self) -> bool {
-        if self.has_looked_around.get() || self.version() == 0 {
-            return self.has_looked_around.get();
+    pub(crate) fn has_discovered_peers(&self) -> bool {
+        if self.has_discovered_peers.get() || self.version() == 0 {
+            return self.has_discovered_peers.get();
         }
         let partners = self.direct_partners();
         let others = self.others.borrow();
@@ -179,7 +179,7 @@
             .filter_map(|node| others.get(node))
             .filter(|other| other.is_tried);
         let is_enough = tried.count() * 2 >= partners.len();
-        self.has_looked_around.set(is_enough);
+        self.has_discovered_peers.set(is_enough);
         is_enough
     }
 
--- a/crates/dragonflystep_edge/src/members/reachability.rs
+++ b/crates/dragonflystep_edge/src/members/reachability.rs
@@ -49,7 +49,7 @@
 
     /// Notes that this node did not run for a while.
     pub(crate) fn resumed(&self, now: MonotonicTime) {
-        self.suspicions.borrow_mut().begin_anew(now);
+        self.suspicions.borrow_mut().reset(now);
     }
 
     /// Takes all nodes for reachable until they are tried again: those that failed while this node was cut off may be
@@ -58,7 +58,7 @@
         for other in self.others.borrow_mut().values_mut() {
             other.failed_since = None;
         }
-        self.suspicions.borrow_mut().begin_anew(now);
+        self.suspicions.borrow_mut().reset(now);
     }
 
     /// Notes whether a node said that it is stopping.
@@ -108,36 +108,41 @@
         suspicions.heard_within(now, HEARD_LATELY) + 1
     }
 
-    /// Takes in which nodes do not answer a calling node; counts where all nodes call this one.
+    /// Records which nodes do not answer a calling node; counts where all nodes call this one.
     pub(crate) fn accused(&self, now: MonotonicTime, nodes: &[NodeName], is_called_by_all: bool) {
         let mut suspicions = self.suspicions.borrow_mut();
         suspicions.set_called_by_all(now, is_called_by_all);
         if is_called_by_all {
-            suspicions.accused(now, &self.hearsay(nodes));
+            suspicions.accused(now, &self.unconfirmed(nodes));
         }
     }
 
-    /// Takes in which nodes an owner takes for gone; not passed on, so that it does not go on circulating.
-    pub(crate) fn told_by_owner(&self, now: MonotonicTime, owner: &NodeName, nodes: &[NodeName]) {
+    /// Applies an owner's suspicions; not passed on, so that it does not go on circulating.
+    pub(crate) fn suspected_by_owner(
+        &self,
+        now: MonotonicTime,
+        owner: &NodeName,
+        nodes: &[NodeName],
+    ) {
         let mut suspicions = self.suspicions.borrow_mut();
-        suspicions.told_by_owner(now, owner, &self.hearsay(nodes));
+        suspicions.suspected_by_owner(now, owner, &self.unconfirmed(nodes));
     }
 
-    /// Those of some nodes on which this one goes by the word of others.
+    /// Those of some nodes of which this one accepts others' suspicions.
     ///
     /// What this node sees itself goes before what others say: after a start of all nodes some have called the owner
     /// too early, and their word would split the services between two owners.
-    fn hearsay(&self, nodes: &[NodeName]) -> Vec<NodeName> {
+    fn unconfirmed(&self, nodes: &[NodeName]) -> Vec<NodeName> {
         // With few nodes each one tries all others itself.
         if nodes.is_empty() || self.listed_count() <= SMALL_SYSTEM_NODES {
             return Vec::new();
         }
         let seen_directly = self.direct_partners();
-        let hearsay = nodes.iter().filter(|node| !seen_directly.contains(node));
-        hearsay.cloned().collect()
+        let unconfirmed = nodes.iter().filter(|node| !seen_directly.contains(node));
+        unconfirmed.cloned().collect()
     }
 
-    /// Nodes that do not answer this one, or are taken for gone by what its callers say.
+    /// Nodes that do not answer this one, or are suspected by its callers.
     pub(crate) fn all_unavailable(&self, now: MonotonicTime) -> Vec<NodeName> {
         let mut nodes = self.own_unavailable();
         nodes.extend(self.suspicions.borrow_mut().suspects(now));
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -1,7 +1,7 @@
 //! One node put together.
 
 mod digest;
-mod hearing;
+mod liveness;
 
 use {
     crate::{
@@ -214,7 +214,7 @@
         self.members.own()
     }
 
-    /// Takes in a catalogue document; older versions than the present one are left alone.
+    /// Applies a catalogue document; older versions than the present one are left alone.
     pub fn learn_catalogue(&self, document: &[u8], source: &str) {
         let catalogue = match self.dialect.read_catalogue(document) {
             Ok(catalogue) => catalogue,
@@ -228,7 +228,7 @@
         self.use_catalogue(is_news, before, source);
     }
 
-    /// Takes in what another node told of the catalogue.
+    /// Applies what another node sent of the catalogue.
     pub(crate) fn learn_catalogue_changes(&self, changes: Changes<CatalogueEntry>, source: &str) {
         let before = self.views.catalogue_version();
         let is_news = self.views.apply_catalogue(changes);
@@ -245,14 +245,14 @@
         self.owner.apply(Event::CatalogueChanged(catalogue));
     }
 
-    /// Takes in the registry of upstreams; older versions than the present one are left alone.
+    /// Applies the registry of upstreams; older versions than the present one are left alone.
     pub fn learn_registry(&self, version: u64, upstreams: Vec<Upstream>, source: &str) {
         let before = self.views.registry().version;
         let is_news = self.views.replace_registry(version, upstreams);
         self.use_registry(is_news, before, source);
     }
 
-    /// Takes in what another node told of the registry.
+    /// Applies what another node sent of the registry.
     pub(crate) fn learn_registry_changes(&self, changes: Changes<Upstream>, source: &str) {
         let before = self.views.registry().version;
         let is_news = self.views.apply_registry(changes);
@@ -276,7 +276,7 @@
         upstreams.any(|upstream| &*upstream.id == id && upstream.phase == UpstreamPhase::Ready)
     }
 
-    /// Takes in a changed settings file; addresses and names stay until a restart.
+    /// Applies a changed settings file; addresses and names stay until a restart.
     pub fn reload(&self, settings: &NodeSettings) {
         self.owner
             .apply(Event::LimitsChanged(settings.shared_limits));
@@ -285,14 +285,14 @@
         log::info!(limits:? = settings.shared_limits; "settings reloaded");
     }
 
-    /// Takes in the list of nodes; older versions than the present one are left alone.
+    /// Applies the list of nodes; older versions than the present one are left alone.
     pub fn learn_members(&self, version: u64, records: Vec<MemberRecord>, source: &str) {
         let before = self.members.version();
         let is_news = self.members.replace_records(version, records);
         self.use_members(is_news, before, source);
     }
 
-    /// Takes in what another node told of the list of nodes.
+    /// Applies what another node sent of the list of nodes.
     pub(crate) fn learn_member_changes(&self, changes: Changes<MemberRecord>, source: &str) {
         let before = self.members.version();
         let is_news = self.members.apply_records(changes);
@@ -343,7 +343,7 @@
         // Nodes that were not tried count as seen. Where none of those that were tried answers, the others are no
         // more to be seen: nodes that are each cut off by themselves would count themselves to the majority, and each
         // give out whole quotas.
-        let sees_others = self.members.has_looked_around() && !self.hears_no_node();
+        let sees_others = self.members.has_discovered_peers() && !self.is_cut_off();
         let visible = if sees_others {
             self.members.mutual_count(self.owner.now())
         } else {
@@ -396,7 +396,7 @@
     }
 }
 
-/// Runs a node until `told_to_stop` is ready and its requests have ended.
+/// Runs a node until `stop_requested` is ready and its requests have ended.
 ///
 /// Must run inside a [`tokio::task::LocalSet`] on a current-thread runtime.
 ///
@@ -407,7 +407,7 @@
     dialect: Box<dyn Dialect>,
     platform: Rc<dyn Platform>,
     network: Rc<dyn PeerNetwork>,
-    told_to_stop: impl Future<Output = Result<(), NodeError>>,
+    stop_requested: impl Future<Output = Result<(), NodeError>>,
 ) -> Result<(), NodeError> {
     let node = Rc::new(Node::new(settings, dialect, network.clone()));
     let started = Instant::now();
@@ -433,7 +433,7 @@
     spawn_local(publish_rollouts(node.clone(), platform.clone()));
     spawn_local(platform.clone().follow(node.clone()));
     log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation, is_first_start = node.settings.is_first_start; "node started");
-    told_to_stop.await?;
+    stop_requested.await?;
     stop(&node, platform).await;
     log::info!(after_s = started.elapsed().as_secs(); "node stopped");
     Ok(())
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -3,7 +3,7 @@
 use {
     super::Node,
     crate::{
-        limits::MOST_TOLD,
+        limits::MAX_PIGGYBACKED,
         versioned_list::{Changes, ListEntry},
     },
     dragonflystep_dispatch::NodeName,
@@ -15,35 +15,36 @@
     pub(crate) fn empty_digest(&self) -> Digest {
         Digest {
             node: self.settings.node.clone(),
-            catalogue_version: self.views.catalogue_list().told_version(),
-            registry_version: self.views.registry_list().told_version(),
+            catalogue_version: self.views.catalogue_list().announced_version(),
+            registry_version: self.views.registry_list().announced_version(),
             is_leaving: self.stop.is_stopping(),
-            members_version: self.members.list().told_version(),
+            members_version: self.members.list().announced_version(),
             platform_heard: self.platform_silence(),
             rollouts: self.encoded_rollouts(),
             ..Digest::default()
         }
     }
 
-    /// What this node knows, with the changes of lists that `theirs` lacks where they are few.
+    /// What this node knows, with the changes of lists that `theirs` is missing where they are few.
     ///
-    /// A node that lacks more fetches it, once: after a start of all nodes each would be sent the whole registry by all
+    /// A node that is missing more fetches it, once: after a start of all nodes each would be sent the whole registry by all
     /// that it exchanges views with.
     pub(crate) fn digest_for(&self, theirs: &Digest, unavailable: Vec<NodeName>) -> Digest {
         let mut digest = self.empty_digest();
         digest.unavailable = unavailable;
         let registry = self.views.registry_list();
-        if let Some(changes) = registry.few_changes_since(theirs.registry_version, MOST_TOLD) {
+        if let Some(changes) = registry.few_changes_since(theirs.registry_version, MAX_PIGGYBACKED)
+        {
             digest.registry = to_json(&changes, "registry");
         }
         let members = self.members.list();
-        if let Some(changes) = members.few_changes_since(theirs.members_version, MOST_TOLD) {
+        if let Some(changes) = members.few_changes_since(theirs.members_version, MAX_PIGGYBACKED) {
             digest.members = to_json(&changes, "list of nodes");
         }
         digest
     }
 
-    /// What a node lacks that answered `theirs`, to be told it unasked.
+    /// What a node is missing that answered `theirs`, to send it unasked.
     ///
     /// Who knows no other node can fetch nothing; those whose neighbour it is tell it of all.
     pub(crate) fn digest_to_tell(&self, theirs: &Digest) -> Digest {
@@ -56,7 +57,7 @@
         digest
     }
 
-    /// Whether a node that answered `theirs` lacks something that this one knows.
+    /// Whether a node that answered `theirs` is missing something that this one knows.
     pub(crate) fn knows_more_than(&self, theirs: &Digest) -> bool {
         let own = self.empty_digest();
         own.registry_version > theirs.registry_version
@@ -65,35 +66,35 @@
 
     /// Notes that another node answered an exchange.
     pub(crate) fn note_exchange(&self) {
-        if self.hears_no_node() {
+        if self.is_cut_off() {
             log::info!("another node answers again after all were silent");
             self.members.forget_failures(self.owner.now());
         }
         self.exchanged_at.set(self.owner.now());
     }
 
-    /// Takes in what a calling node told.
+    /// Applies the digest of a calling node.
     pub(crate) fn called_by(&self, theirs: &Digest) {
         let now = self.owner.now();
         self.members.heard(now, &theirs.node);
         let is_called_by_all = self.is_called_by_all();
         self.members
             .accused(now, &theirs.unavailable, is_called_by_all);
-        self.take_in(theirs);
+        self.apply_digest(theirs);
     }
 
-    /// Takes in what a node told that was called; `is_owner` says whether all nodes call it.
+    /// Applies the digest of a node that was called; `is_owner` says whether all nodes call it.
     pub(crate) fn answered_by(&self, theirs: &Digest, is_owner: bool) {
         // Who is called by all weighs what callers say itself.
         if is_owner && !self.is_called_by_all() {
             let now = self.owner.now();
             let (owner, nodes) = (&theirs.node, &theirs.unavailable);
-            self.members.told_by_owner(now, owner, nodes);
+            self.members.suspected_by_owner(now, owner, nodes);
         }
-        self.take_in(theirs);
+        self.apply_digest(theirs);
     }
 
-    fn take_in(&self, theirs: &Digest) {
+    fn apply_digest(&self, theirs: &Digest) {
         self.members.set_leaving(&theirs.node, theirs.is_leaving);
         self.members
             .set_misses_us(&theirs.node, &theirs.unavailable);
@@ -115,7 +116,7 @@
     })
 }
 
-/// Changes of a list that another node told; none when it told none, or they are not understood.
+/// Changes of a list that another node sent; none when it sent none, or they are not understood.
 fn from_json<T: ListEntry>(bytes: &[u8], list: &'static str, peer: &str) -> Option<Changes<T>> {
     if bytes.is_empty() {
         return None;
--- a/crates/dragonflystep_edge/src/node/hearing.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -21,7 +21,7 @@
     /// another node for a while follows the documents too.
     pub fn follows_platform(&self) -> bool {
         let is_small = self.members.listed_count() <= SMALL_SYSTEM_NODES;
-        if is_small || !self.is_ready() || self.hears_no_node() {
+        if is_small || !self.is_ready() || self.is_cut_off() {
             return true;
         }
         // Followers are ranked by name and size, and the platform may refuse all of them while it serves others; then
@@ -64,7 +64,7 @@
         self.members.first_owners().contains(node) || self.ranked_owners(1).contains(node)
     }
 
-    /// Time since the platform answered this node, or one that told it so.
+    /// Time since the platform answered this node, or one that reported it.
     pub(crate) fn platform_silence(&self) -> Duration {
         self.owner
             .now()
@@ -87,18 +87,18 @@
     }
 
     /// Whether no other node has answered this one for a while.
-    pub fn hears_no_node(&self) -> bool {
+    pub fn is_cut_off(&self) -> bool {
         let silent_for = self.owner.now().saturating_sub(self.exchanged_at.get());
         self.members.listed_count() > 1 && silent_for > PEERS_SILENT
     }
 
     /// Whether neither another node nor the platform has answered for a while, so that nobody can tell this node which
     /// upstreams leave.
-    pub(crate) fn hears_nobody(&self) -> bool {
+    pub(crate) fn is_isolated(&self) -> bool {
         let silent_for = self
             .owner
             .now()
             .saturating_sub(self.platform_answered_at.get());
-        silent_for > PEERS_SILENT && self.hears_no_node()
+        silent_for > PEERS_SILENT && self.is_cut_off()
     }
 }
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -93,7 +93,7 @@
 
     fn spent(&self, report: SpendingReport) {
         self.note_peer(&report.node);
-        self.node.owner.apply(Event::SpendingTold(report));
+        self.node.owner.apply(Event::SpendingReported(report));
     }
 
     fn load_observed(&self, load: UpstreamLoad) {
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -23,7 +23,7 @@
     ask: Ask,
     upstream: dragonflystep_dispatch::UpstreamId,
     started_at: MonotonicTime,
-    /// The owner that counts it, with the connection over which it was told.
+    /// The owner that counts it, with the connection over which it was reported.
     owner: (NodeName, u64),
 }
 
@@ -31,8 +31,8 @@
 pub(crate) struct EntryRuns {
     runs: RefCell<HashMap<RunId, EntryRun>>,
     spending: RefCell<SpendingLedger>,
-    /// The owner that was told of the spending last, with the connection.
-    spending_told_to: RefCell<Option<(NodeName, u64)>>,
+    /// The owner that the spending was reported to last, with the connection.
+    spending_reported_to: RefCell<Option<(NodeName, u64)>>,
 }
 
 impl EntryRuns {
@@ -40,22 +40,22 @@
         Self {
             runs: RefCell::default(),
             spending: RefCell::new(SpendingLedger::new(quota_window, is_first_start)),
-            spending_told_to: RefCell::default(),
+            spending_reported_to: RefCell::default(),
         }
     }
 
-    /// What accounts spent through this entry, if `owner` was not told yet.
+    /// What accounts spent through this entry, unless it was reported to `owner`.
     fn spending_for(
         &self,
         now: MonotonicTime,
         own: &NodeName,
         owner: &(NodeName, u64),
     ) -> Option<SpendingReport> {
-        let mut told_to = self.spending_told_to.borrow_mut();
-        if told_to.as_ref() == Some(owner) {
+        let mut reported_to = self.spending_reported_to.borrow_mut();
+        if reported_to.as_ref() == Some(owner) {
             return None;
         }
-        *told_to = Some(owner.clone());
+        *reported_to = Some(owner.clone());
         let mut spending = self.spending.borrow_mut();
         Some(spending.report(now, own.clone(), &owner.0))
     }
@@ -99,7 +99,7 @@
     }
 }
 
-/// A place at an upstream that was given to a request, until its run's end is told.
+/// A place at an upstream that was given to a request, until its run's end is reported.
 ///
 /// Dropped before, it tells the owner that the run was cancelled.
 pub struct Place {
@@ -231,7 +231,7 @@
         .entry_runs
         .spending_for(now, &node.settings.node, &owner)
     {
-        node.owner.apply(Event::SpendingTold(report));
+        node.owner.apply(Event::SpendingReported(report));
     }
     let verdict = node.owner.clone().ask(ask.clone()).await;
     place(node, ask, owner, verdict)
@@ -303,7 +303,7 @@
     }
 }
 
-/// Tells an owner of this entry's runs and of what accounts spent through it, unless it was told before.
+/// Reports this entry's runs and what accounts spent through it to an owner, unless it was done.
 ///
 /// Messages of one connection arrive in order, so that the owner counts these before the next request.
 async fn tell_new_owner(node: &Rc<Node>, owner: &NodeName, link: &Rc<PeerLink>, ask: &Ask) {
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -6,7 +6,7 @@
         answers_of_own::OwnAnswer,
         dialect::RequestFacts,
         job::Job,
-        limits::{ELSEWHERE_RETRY_AFTER, UNTOLD_TIME_LEFT},
+        limits::{DEFAULT_TIME_LEFT, ELSEWHERE_RETRY_AFTER},
         node::Node,
         stop::{OpenRequest, StopSignal},
     },
@@ -76,7 +76,7 @@
             RoutingError::NoRoute => OwnAnswer::new(StatusCode::NOT_FOUND, "no_route"),
             RoutingError::UnknownKey => OwnAnswer::new(StatusCode::UNAUTHORIZED, "unknown_key"),
         })?;
-    let time_left = facts.time_left.unwrap_or(UNTOLD_TIME_LEFT);
+    let time_left = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived + time_left.min(found.route.timeout);
     let limits = table.catalogue().limits;
     let body = read_body(body, limits.max_body_bytes, deadline).await?;
--- a/crates/dragonflystep_edge/src/rollouts.rs
+++ b/crates/dragonflystep_edge/src/rollouts.rs
@@ -128,7 +128,7 @@
 }
 
 impl Node {
-    /// Takes in a roll-out that the platform or another node tells of.
+    /// Applies a roll-out that the platform or another node tells of.
     pub fn learn_rollout(&self, news: &RolloutNews, source: &str) {
         let now = self.owner.now();
         let merged = self.rollouts.merge(now, news);
@@ -148,7 +148,7 @@
         self.owner.apply(settled);
     }
 
-    /// Takes in that the operator withdrew the order of a service.
+    /// Records that the operator withdrew the order of a service.
     pub fn learn_rollout_withdrawn(&self, service: &ServiceName) {
         if self.rollouts.known.borrow_mut().remove(service).is_some() {
             log::info!(service:%; "roll-out withdrawn");
@@ -184,7 +184,7 @@
         })
     }
 
-    /// Takes in the roll-outs that another node told of.
+    /// Applies the roll-outs that another node sent.
     pub(crate) fn learn_rollouts(&self, bytes: &[u8], peer: &str) {
         if bytes.is_empty() {
             return;
--- a/crates/dragonflystep_edge/src/stop.rs
+++ b/crates/dragonflystep_edge/src/stop.rs
@@ -41,7 +41,7 @@
 }
 
 impl StopSignal {
-    /// Whether the node was told to stop.
+    /// Whether the node was asked to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         self.since.get().is_some()
     }
--- a/crates/dragonflystep_edge/src/suspicion.rs
+++ b/crates/dragonflystep_edge/src/suspicion.rs
@@ -1,7 +1,7 @@
-//! Whose word counts on nodes that do not answer, as in gossip membership with suspicion and refutation.
+//! Which suspicions of nodes that do not answer are accepted, as in gossip membership with suspicion and refutation.
 //!
-//! The load it answers: a cut between hundreds of nodes ends. Each side holds the other for gone and says so; believed as
-//! it comes, the word of both sides together leaves nobody. So a suspicion counts only where the suspect itself is silent:
+//! The load it answers: a cut between hundreds of nodes ends. Each side suspects the other and says so; believed as
+//! it comes, the suspicions of both sides together leave nobody. So a suspicion counts only where the suspect itself is silent:
 //! all nodes call the first owners several times a second, and such a call refutes whatever others say of the caller. All
 //! others believe what the owners that they reach say alike.
 
@@ -16,12 +16,12 @@
 
 /// What an owner of services said last of nodes that take no requests.
 #[derive(Debug)]
-struct OwnerWord {
+struct OwnerSuspicions {
     at: MonotonicTime,
     unavailable: HashSet<NodeName>,
 }
 
-/// Nodes that this one takes for gone by the word of others.
+/// Nodes that others suspect, as far as this one accepts it.
 #[derive(Debug, Default)]
 pub(crate) struct Suspicions {
     /// Whether all nodes call this one.
@@ -31,7 +31,7 @@
     heard_at: HashMap<NodeName, MonotonicTime>,
     /// By what callers say, weighed against what this node heard itself.
     suspected_until: HashMap<NodeName, MonotonicTime>,
-    owner_words: HashMap<NodeName, OwnerWord>,
+    owner_suspicions: HashMap<NodeName, OwnerSuspicions>,
     /// Nodes of which all owners say the same.
     agreed: HashSet<NodeName>,
     agreed_until: MonotonicTime,
@@ -62,27 +62,27 @@
         }
         self.refuted += 1;
         if self.refuted == REFUTED_BY_A_HEAL {
-            self.begin_anew(now + NEW_OWNER_CALLED);
+            self.reset(now + NEW_OWNER_CALLED);
         }
     }
 
     /// Forgets what was believed of others: this node did not run for a while, or was cut off.
-    pub(crate) fn begin_anew(&mut self, now: MonotonicTime) {
+    pub(crate) fn reset(&mut self, now: MonotonicTime) {
         self.listens_since = now;
         self.suspected_until.clear();
-        self.owner_words.clear();
+        self.owner_suspicions.clear();
         self.agreed.clear();
     }
 
     /// Notes whether all nodes call this one; who was not called before knows nothing of those that are silent.
     pub(crate) fn set_called_by_all(&mut self, now: MonotonicTime, is_called_by_all: bool) {
         if is_called_by_all && !self.is_called_by_all {
-            self.begin_anew(now + NEW_OWNER_CALLED);
+            self.reset(now + NEW_OWNER_CALLED);
         }
         self.is_called_by_all = is_called_by_all;
     }
 
-    /// Takes in which nodes do not answer a caller; counts where this node hears nothing of them either.
+    /// Records which nodes do not answer a caller; counts where this node hears nothing of them either.
     pub(crate) fn accused(&mut self, now: MonotonicTime, nodes: &[NodeName]) {
         for node in nodes {
             let heard_at = self.heard_at.get(node).copied().unwrap_or_default();
@@ -94,29 +94,29 @@
         }
     }
 
-    /// Takes in which nodes an owner takes for gone; counts where all owners that were heard lately say so.
+    /// Applies an owner's suspicions; counts where all owners that were heard lately say so.
     ///
     /// After a cut the owners of both sides are heard for a moment, and each is wrong of the other side.
-    pub(crate) fn told_by_owner(
+    pub(crate) fn suspected_by_owner(
         &mut self,
         now: MonotonicTime,
         owner: &NodeName,
         nodes: &[NodeName],
     ) {
-        let word = OwnerWord {
+        let word = OwnerSuspicions {
             at: now,
             unavailable: nodes.iter().cloned().collect(),
         };
-        self.owner_words.insert(owner.clone(), word);
-        self.owner_words
+        self.owner_suspicions.insert(owner.clone(), word);
+        self.owner_suspicions
             .retain(|_, word| now.saturating_sub(word.at) < SUSPICION_HOLDS);
-        let words = || self.owner_words.values();
+        let words = || self.owner_suspicions.values();
         let all_say = |node: &&NodeName| words().all(|word| word.unavailable.contains(*node));
         self.agreed = nodes.iter().filter(all_say).cloned().collect();
         self.agreed_until = now + SUSPICION_HOLDS;
     }
 
-    /// Whether a node is taken for gone by the word of others.
+    /// Whether a node is suspected.
     pub(crate) fn is_suspected(&self, now: MonotonicTime, node: &str) -> bool {
         let until = self.suspected_until.get(node);
         until.is_some_and(|until| now < *until)
@@ -131,7 +131,7 @@
             .count()
     }
 
-    /// Nodes that this one takes for gone by what callers say, to be told those who ask.
+    /// Suspects by what callers say, for those who ask.
     pub(crate) fn suspects(&mut self, now: MonotonicTime) -> Vec<NodeName> {
         self.suspected_until.retain(|_, until| now < *until);
         self.suspected_until.keys().cloned().collect()
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::limits::{
-        KEPT_CONNECTION_SHARE, MOST_IDLE_CONNECTIONS, UNTOLD_KEEP_ALIVE, UPSTREAM_CONNECT_TIMEOUT,
+        DEFAULT_KEEP_ALIVE, KEPT_CONNECTION_SHARE, MOST_IDLE_CONNECTIONS, UPSTREAM_CONNECT_TIMEOUT,
     },
     bytes::Bytes,
     dragonflystep_peer::{SilenceLimits, prepare_stream},
@@ -79,7 +79,7 @@
         if connection.sender.is_closed() {
             return;
         }
-        let told = keep_alive.unwrap_or(UNTOLD_KEEP_ALIVE);
+        let told = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
         let mut idle = self.idle.borrow_mut();
         let of_address = idle.entry(connection.address).or_default();
         let now = Instant::now();
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -35,48 +35,51 @@
 /// What upstreams said lately.
 #[derive(Default)]
 pub(crate) struct UpstreamHealth {
-    told: RefCell<HashMap<UpstreamId, Told>>,
+    answers: RefCell<HashMap<UpstreamId, HealthAnswer>>,
 }
 
 #[derive(Clone, Copy)]
-struct Told {
+struct HealthAnswer {
     at: MonotonicTime,
     takes_requests: bool,
 }
 
 impl UpstreamHealth {
     /// What an upstream said, if that was lately.
-    fn told(&self, now: MonotonicTime, upstream: &UpstreamId) -> Option<bool> {
-        let mut told = self.told.borrow_mut();
-        told.retain(|_, told| now.saturating_sub(told.at) < UPSTREAM_HEALTH_HOLDS);
-        told.get(upstream).map(|told| told.takes_requests)
+    fn known(&self, now: MonotonicTime, upstream: &UpstreamId) -> Option<bool> {
+        let mut answers = self.answers.borrow_mut();
+        answers.retain(|_, answer| now.saturating_sub(answer.at) < UPSTREAM_HEALTH_HOLDS);
+        answers.get(upstream).map(|answer| answer.takes_requests)
     }
 
     fn note(&self, now: MonotonicTime, upstream: &UpstreamId, takes_requests: bool) {
-        let told = Told {
+        let answer = HealthAnswer {
             at: now,
             takes_requests,
         };
-        self.told.borrow_mut().insert(upstream.clone(), told);
+        self.answers.borrow_mut().insert(upstream.clone(), answer);
     }
 }
 
 /// Whether a request may go to the upstream of a place: always while this node hears another one or the platform,
 /// else when the upstream says that it takes requests.
 ///
-/// Nobody tells a node that hears nobody which upstreams leave.
+/// An isolated node is not informed of upstreams that leave.
 pub(crate) async fn confirm_upstream(
     node: &Rc<Node>,
     service: &ServiceName,
     grant: &Grant,
 ) -> bool {
-    if !node.hears_nobody() {
+    if !node.is_isolated() {
         return true;
     }
     let Some(path) = health_path(node, service) else {
         return true;
     };
-    if let Some(takes_requests) = node.upstream_health.told(node.owner.now(), &grant.upstream) {
+    if let Some(takes_requests) = node
+        .upstream_health
+        .known(node.owner.now(), &grant.upstream)
+    {
         return takes_requests;
     }
     let asked = timeout(UPSTREAM_HEALTH_TIMEOUT, ask_upstream(node, &path, grant)).await;
--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -23,7 +23,7 @@
 /// Longest list that is taken from another node, in bytes; some 100,000 routes.
 const MOST_LIST_BYTES: u64 = 64 << 20;
 
-/// Why what another node told of a list can't be used.
+/// Why what another node sent of a list can't be used.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ChangesError {
     /// It can't be compressed or expanded.
@@ -110,7 +110,7 @@
     }
 
     /// The version to tell other nodes: 0 asks for the whole list.
-    pub(crate) fn told_version(&self) -> u64 {
+    pub(crate) fn announced_version(&self) -> u64 {
         if self.wants_whole { 0 } else { self.version }
     }
 
@@ -120,7 +120,7 @@
     }
 
     /// Whether a list of `their_version` holds something new.
-    pub(crate) fn lacks(&self, their_version: u64) -> bool {
+    pub(crate) fn is_stale_against(&self, their_version: u64) -> bool {
         supersedes(their_version, self.version) || self.wants_whole && their_version == self.version
     }
 
@@ -134,7 +134,7 @@
 
     /// Takes over a whole list, unless the present one is as new.
     pub(crate) fn replace(&mut self, version: u64, entries: Vec<T>) -> bool {
-        if !self.lacks(version) {
+        if !self.is_stale_against(version) {
             return false;
         }
         if self.version == 0 || self.wants_whole {
@@ -153,7 +153,7 @@
         true
     }
 
-    /// What a node lacks that has the list of `their_version`; none if that is as new as this one.
+    /// What a node is missing that has the list of `their_version`; none if that is as new as this one.
     ///
     /// A list that is not known to be whole is told to nobody: it may lack entries that its version has.
     pub(crate) fn changes_since(&self, their_version: u64) -> Option<Changes<T>> {
@@ -179,7 +179,7 @@
         })
     }
 
-    /// What a node lacks that has the list of `their_version`, if that is at most `most` entries.
+    /// What a node is missing that has the list of `their_version`, if that is at most `most` entries.
     pub(crate) fn few_changes_since(&self, their_version: u64, most: usize) -> Option<Changes<T>> {
         // Most exchanges of views are between nodes that have the same list.
         if their_version >= self.version || self.wants_whole {
@@ -193,7 +193,7 @@
         is_few.then(|| self.changes_since(their_version))?
     }
 
-    /// Takes over what another node told; says whether the list changed.
+    /// Applies what another node sent; says whether the list changed.
     ///
     /// When the outcome is not what the other node has, the whole list is asked for at the next exchange.
     pub(crate) fn apply(&mut self, changes: Changes<T>) -> bool {
--- a/crates/dragonflystep_edge/src/views.rs
+++ b/crates/dragonflystep_edge/src/views.rs
@@ -58,7 +58,7 @@
         self.refresh_catalogue(is_news)
     }
 
-    /// Takes over what another node told of the catalogue; says whether another one is in force.
+    /// Applies what another node sent of the catalogue; says whether another one is in force.
     pub(crate) fn apply_catalogue(&self, changes: Changes<CatalogueEntry>) -> bool {
         let is_news = self.catalogue_list.borrow_mut().apply(changes);
         self.refresh_catalogue(is_news)
@@ -91,7 +91,7 @@
         self.refresh_registry(is_news)
     }
 
-    /// Takes over what another node told of the registry; says whether it is news.
+    /// Applies what another node sent of the registry; says whether it is news.
     pub(crate) fn apply_registry(&self, changes: Changes<Upstream>) -> bool {
         let is_news = self.registry_list.borrow_mut().apply(changes);
         self.refresh_registry(is_news)
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -39,7 +39,7 @@
     Members,
 }
 
-/// Asks for a piece of what a node lacks of a list.
+/// Asks for a piece of what a node is missing of a list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListPieceAsk {
     /// The list.
@@ -52,12 +52,12 @@
     pub offset_bytes: u32,
 }
 
-/// A piece of what a node lacks of a list, in the nodes' own form.
+/// A piece of what a node is missing of a list, in the nodes' own form.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListPiece {
     /// Version to which all pieces lead; another one than that asked for means that the pieces start anew.
     pub leads_to: u64,
-    /// Bytes of all pieces; 0 when the asking node lacks nothing.
+    /// Bytes of all pieces; 0 when the asking node is up to date.
     pub total_bytes: u32,
     /// The piece.
     pub bytes: Vec<u8>,
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -162,7 +162,7 @@
         Ok(())
     }
 
-    /// Asks for a piece of what this node lacks of a list.
+    /// Asks for a piece of what this node is missing of a list.
     ///
     /// # Errors
     /// When the node can't be reached, does not answer in time or the connection breaks.
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -38,7 +38,7 @@
     /// Tells what an upstream said of its load.
     fn load_observed(&self, load: UpstreamLoad);
 
-    /// A piece of what a node lacks that has a version of a list.
+    /// A piece of what a node is missing that has a version of a list.
     fn list_since(&self, ask: ListPieceAsk) -> ListPiece;
 
     /// Tells a view and asks for the own one.
