--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -89,6 +89,7 @@
         for (_, gone) in before {
             self.orphans.extend(gone.runs);
         }
+        self.forget_replaced_rollout();
     }
 
     /// Whether nothing would be lost with it.
--- a/crates/dragonflystep_dispatch/src/pool/rolling.rs
+++ b/crates/dragonflystep_dispatch/src/pool/rolling.rs
@@ -122,6 +122,18 @@
         rollout.is_none_or(|rollout| rollout.takes_main(&upstream.entry.version))
     }
 
+    /// Forgets a roll-out that was completed once its version is gone: what came after it came without an order.
+    pub(super) fn forget_replaced_rollout(&mut self) {
+        let is_completed = |rollout: &mut Rollout| rollout.phase() == RolloutPhase::Completed;
+        let Some(rollout) = self.rollout.take_if(is_completed) else {
+            return;
+        };
+        let is_there = |one: &LiveUpstream| rollout.is_new(&one.entry.version);
+        if self.upstreams.is_empty() || self.upstreams.iter().any(is_there) {
+            self.rollout = Some(rollout);
+        }
+    }
+
     /// Counts a request; says whether it is to be a canary.
     pub(super) fn note_for_rollout(&mut self, ask: &Ask) -> bool {
         // Who sees no majority decides nothing, and a request that failed before is not put at risk again.
--- a/crates/dragonflystep_dispatch/tests/rollouts.rs
+++ b/crates/dragonflystep_dispatch/tests/rollouts.rs
@@ -656,3 +656,22 @@
     }
     assert!(player.flying.values().all(|run| !run.is_new));
 }
+
+#[test]
+fn a_version_that_comes_without_an_order_after_a_completed_one_is_used() {
+    let site = application();
+    let mut player = Player::new(&site, GOOD, 1);
+    player.reduce(0.0, Event::RolloutOrdered(player.order()));
+    player.reduce(0.0, Event::UpstreamsChanged(versions(&site, true)));
+    let completed = Event::RolloutSettled(SERVICE.into(), 7, RolloutPhase::Completed);
+    player.reduce(0.0, completed);
+    let mut released = versions(&site, false);
+    for one in &mut released {
+        one.version = "v3".into();
+    }
+    player.reduce(1.0, Event::UpstreamsChanged(released));
+    for index in 0..10 {
+        player.ask(4.0 + f64::from(index) * 0.001);
+    }
+    assert!(!player.flying.is_empty());
+}
