--- a/crates/dragonflystep_dispatch/tests/quotas.rs
+++ b/crates/dragonflystep_dispatch/tests/quotas.rs
@@ -205,3 +205,41 @@
         );
     }
 }
+
+/// Shares of the refused requests of an account that are served when they come back as they were told, among new ones.
+#[test]
+fn those_who_are_refused_come_back_one_after_the_other() {
+    let mut owner = with_quota(100_000.0, 100_000.0);
+    let at = Duration::from_secs(20);
+    let mut told = Vec::new();
+    for run in 1..=80 {
+        let asked = Ask {
+            account: Some("mill".into()),
+            quota_units: 5_000,
+            ..plain_ask(run, 0)
+        };
+        if let Some(Verdict::Refused(refusal)) = ask(&mut owner, at, asked) {
+            told.push((at + refusal.retry_after, run));
+        } else {
+            owner.reduce(at, ended(run, RunOutcome::Completed));
+        }
+    }
+    told.sort_unstable();
+    let refused = told.len();
+    let mut again = 0;
+    for (at, run) in told {
+        let asked = Ask {
+            account: Some("mill".into()),
+            quota_units: 5_000,
+            ..plain_ask(run + 1_000, 0)
+        };
+        match ask(&mut owner, at, asked) {
+            Some(Verdict::Refused(_)) => again += 1,
+            _ => {
+                owner.reduce(at, ended(run + 1_000, RunOutcome::Completed));
+            }
+        }
+    }
+    assert!(refused >= 40, "{refused}");
+    assert!(again * 20 <= refused, "{again} of {refused} refused again");
+}
