Advance roll-outs only when they are due, name what is recent, and split who becomes a canary

Objective: `advance_rollout` looked at all runs at each request and took the roll-out out and in again three times; "scene" and "lately" were words of our own; the choice of canaries was one long function.

Solution: `is_due`, `RolloutInputs`, `recent`; three steps in place of one function. Behaviour is untouched.

--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -175,8 +175,8 @@
 /// Time between two looks at the evidence.
 pub(crate) const ROLLOUT_JUDGE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time after which what counts as lately begins anew.
-pub(crate) const ROLLOUT_LATELY: Duration = Duration::from_secs(3);
+/// Time after which the recent answers of the new version are counted from zero again.
+pub(crate) const ROLLOUT_RECENT: Duration = Duration::from_secs(3);
 
 /// How often each comparison of rates may take a good version for a bad one.
 pub(crate) const ROLLOUT_FALSE_ALARM: f64 = 2e-4;
--- a/crates/dragonflystep_dispatch/src/pool/rolling.rs
+++ b/crates/dragonflystep_dispatch/src/pool/rolling.rs
@@ -7,7 +7,7 @@
         ids::MonotonicTime,
         limits::{FIRST_EVENT_BASE_MS, OVERDUE_AFTER, ROLLOUT_CANARY_UPSTREAMS},
         rollout::{
-            Rollout, RolloutOrder, RolloutPhase, RolloutRules, RolloutScene, RolloutStep,
+            Rollout, RolloutInputs, RolloutOrder, RolloutPhase, RolloutRules, RolloutStep,
             overdue_sample, sample_of,
         },
         speed::Speed,
@@ -58,36 +58,30 @@
         self.rollout = None;
     }
 
-    /// Goes on with a roll-out where it is time.
+    /// Goes on with a roll-out where it is time; returns the steps that others have to learn of.
     pub(crate) fn advance_rollout(&mut self, now: MonotonicTime) -> Vec<RolloutStep> {
+        let rollout = self.rollout.as_ref();
+        if !rollout.is_some_and(|rollout| rollout.is_due(now)) {
+            return Vec::new();
+        }
+        self.note_overdue(now);
+        let inputs = self.rollout_inputs(now);
         let Some(rollout) = self.rollout.take() else {
             return Vec::new();
         };
-        if !rollout.is_undecided() {
-            self.rollout = Some(rollout);
-            return Vec::new();
-        }
+        let (rollout, steps) = rollout.advance(inputs, self.rollout_rules);
         self.rollout = Some(rollout);
-        self.note_overdue(now);
-        let scene = self.rollout_scene(now);
-        let rollout = self.rollout.take();
-        let (rollout, steps) = rollout
-            .map(|rollout| rollout.advance(scene, self.rollout_rules))
-            .map_or((None, Vec::new()), |(rollout, steps)| {
-                (Some(rollout), steps)
-            });
-        self.rollout = rollout;
         steps
     }
 
-    fn rollout_scene(&self, now: MonotonicTime) -> RolloutScene {
+    fn rollout_inputs(&self, now: MonotonicTime) -> RolloutInputs {
         let is_new = |one: &&LiveUpstream| self.is_of_new_version(one);
         let new_ready = self
             .upstreams
             .iter()
             .filter(is_new)
             .filter(|one| one.entry.phase == UpstreamPhase::Ready);
-        RolloutScene {
+        RolloutInputs {
             now,
             new_upstreams: new_ready.count(),
             may_decide: self.places_share.is_none(),
--- a/crates/dragonflystep_dispatch/src/rollout.rs
+++ b/crates/dragonflystep_dispatch/src/rollout.rs
@@ -17,7 +17,7 @@
         ask::RunOutcome,
         ids::{MonotonicTime, RouteName, ServiceName, UpstreamId, UpstreamVersion},
         limits::{
-            ROLLOUT_EXPOSURE_USE, ROLLOUT_JUDGE_INTERVAL, ROLLOUT_LATELY, ROLLOUT_LONGEST_SWITCH,
+            ROLLOUT_EXPOSURE_USE, ROLLOUT_JUDGE_INTERVAL, ROLLOUT_LONGEST_SWITCH, ROLLOUT_RECENT,
             ROLLOUT_SETTLE_MARGIN, ROLLOUT_SLACK_USE,
         },
     },
@@ -75,7 +75,7 @@
     pub exposed_slack: f64,
 }
 
-/// A step of a roll-out that others have to be told of.
+/// A step of a roll-out that others have to learn of.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutStep {
     /// The order.
@@ -164,13 +164,13 @@
 pub(crate) struct Rollout {
     stages: Stages,
     judged_at: MonotonicTime,
-    lately_since: MonotonicTime,
+    recent_since: MonotonicTime,
     is_announced: bool,
 }
 
 /// What the owner knows of the service's upstreams at a moment.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct RolloutScene {
+pub(crate) struct RolloutInputs {
     pub(crate) now: MonotonicTime,
     /// Upstreams of the new version that take requests.
     pub(crate) new_upstreams: usize,
@@ -189,7 +189,7 @@
                 state: Canary,
             }),
             judged_at: now,
-            lately_since: now,
+            recent_since: now,
             is_announced: false,
         }
     }
@@ -291,54 +291,47 @@
         }
     }
 
-    /// Goes on to the next stage where it is time; returns the steps that others have to be told of.
+    /// Whether it is time to look at the evidence, or the order has not been announced yet.
+    pub(crate) fn is_due(&self, now: MonotonicTime) -> bool {
+        let is_time = now.saturating_sub(self.judged_at) >= ROLLOUT_JUDGE_INTERVAL;
+        self.is_undecided() && (is_time || !self.is_announced)
+    }
+
+    /// Goes on to the next stage where it is time; returns the steps that others have to learn of.
     pub(crate) fn advance(
-        self,
-        scene: RolloutScene,
+        mut self,
+        inputs: RolloutInputs,
         rules: RolloutRules,
     ) -> (Self, Vec<RolloutStep>) {
         let mut steps = Vec::new();
-        if !scene.may_decide || !self.has_requests() {
+        if !inputs.may_decide || !self.has_requests() {
             return (self, steps);
         }
-        let mut rollout = self;
-        if !rollout.is_announced {
-            rollout.is_announced = true;
-            if rollout.is_undecided() {
-                steps.push(rollout.step("the order is known"));
-            }
+        if !self.is_announced {
+            self.is_announced = true;
+            steps.push(self.step("the order is known"));
         }
-        if scene.now.saturating_sub(rollout.judged_at) < ROLLOUT_JUDGE_INTERVAL {
-            return (rollout, steps);
+        self.judged_at = inputs.now;
+        if inputs.now.saturating_sub(self.recent_since) > ROLLOUT_RECENT {
+            self.recent_since = inputs.now;
+            self.reset_recent();
         }
-        rollout.judged_at = scene.now;
-        let mut lately_since = rollout.lately_since;
-        if scene.now.saturating_sub(lately_since) > ROLLOUT_LATELY {
-            lately_since = scene.now;
-            rollout.begin_lately();
-        }
-        let is_announced = rollout.is_announced;
-        let (stages, reason) = match rollout.stages {
-            Stages::Canary(stage) => advance_canary(stage, scene, rules),
-            Stages::Switching(stage) => advance_switch(stage, scene),
+        let (stages, reason) = match self.stages {
+            Stages::Canary(stage) => advance_canary(stage, inputs, rules),
+            Stages::Switching(stage) => advance_switch(stage, inputs),
             Stages::Settled(stage) => (Stages::Settled(stage), None),
         };
-        let rollout = Self {
-            stages,
-            judged_at: scene.now,
-            lately_since,
-            is_announced,
-        };
+        self.stages = stages;
         if let Some(reason) = reason {
-            steps.push(rollout.step(&reason));
+            steps.push(self.step(&reason));
         }
-        (rollout, steps)
+        (self, steps)
     }
 
-    fn begin_lately(&mut self) {
+    fn reset_recent(&mut self) {
         match &mut self.stages {
-            Stages::Canary(stage) => stage.evidence.begin_lately(),
-            Stages::Switching(stage) => stage.evidence.begin_lately(),
+            Stages::Canary(stage) => stage.evidence.reset_recent(),
+            Stages::Switching(stage) => stage.evidence.reset_recent(),
             Stages::Settled(_) => {}
         }
     }
@@ -360,10 +353,10 @@
     }
 }
 
-/// From canaries to the switch, or back; the text says why others have to be told.
+/// From canaries to the switch, or back; the text is the reason of a decision.
 fn advance_canary(
     stage: Stage<Canary>,
-    scene: RolloutScene,
+    inputs: RolloutInputs,
     rules: RolloutRules,
 ) -> (Stages, Option<String>) {
     if let Some(fault) = stage.evidence.fault() {
@@ -372,22 +365,22 @@
             Some(fault),
         );
     }
-    let is_over = scene.now >= stage.order.ends_at;
-    if is_over && scene.new_upstreams == 0 {
+    let is_over = inputs.now >= stage.order.ends_at;
+    if is_over && inputs.new_upstreams == 0 {
         let reason = "no upstream of the new version takes requests".to_owned();
         return (
             Stages::Settled(stage.settle(RolloutPhase::RolledBack)),
             Some(reason),
         );
     }
-    let length = stage.switch_length(scene.now, rules);
+    let length = stage.switch_length(inputs.now, rules);
     // All requests go to the new version from the switch to the order's end, whether it is completed by then or not.
-    let is_time = scene.now + length >= stage.order.ends_at;
-    if !is_time || scene.new_upstreams == 0 || !stage.evidence.is_sufficient() {
+    let is_time = inputs.now + length >= stage.order.ends_at;
+    if !is_time || inputs.new_upstreams == 0 || !stage.evidence.is_sufficient() {
         return (Stages::Canary(stage), None);
     }
     let until = if is_over {
-        scene.now + length
+        inputs.now + length
     } else {
         stage.order.ends_at.saturating_sub(ROLLOUT_SETTLE_MARGIN)
     };
@@ -395,14 +388,14 @@
 }
 
 /// From the switch to the end, or back.
-fn advance_switch(stage: Stage<Switching>, scene: RolloutScene) -> (Stages, Option<String>) {
+fn advance_switch(stage: Stage<Switching>, inputs: RolloutInputs) -> (Stages, Option<String>) {
     if let Some(fault) = stage.evidence.fault() {
         return (
             Stages::Settled(stage.settle(RolloutPhase::RolledBack)),
             Some(fault),
         );
     }
-    if scene.now < stage.state.until {
+    if inputs.now < stage.state.until {
         return (Stages::Switching(stage), None);
     }
     let reason = stage.evidence.describe();
--- a/crates/dragonflystep_dispatch/src/rollout/evidence.rs
+++ b/crates/dragonflystep_dispatch/src/rollout/evidence.rs
@@ -24,10 +24,10 @@
 /// Rates above the old version's which the sequential test looks for.
 const EXCESS_RATES: [f64; 5] = [0.04, 0.1, 0.25, 0.45, 0.8];
 
-/// The old version, the new one, and the new one lately.
+/// The old version, the new one since the order, and the new one recently.
 const OLD: usize = 0;
 const NEW: usize = 1;
-const NEW_LATELY: usize = 2;
+const NEW_RECENT: usize = 2;
 
 /// Durations of an upstream that are kept, to know its usual one.
 const KEPT_DURATIONS: usize = 32;
@@ -100,7 +100,7 @@
         let usual = usual(durations);
         let versions = self.routes.entry(route.clone()).or_default();
         let kept_as = if is_new {
-            &[NEW, NEW_LATELY][..]
+            &[NEW, NEW_RECENT][..]
         } else {
             &[OLD]
         };
@@ -119,16 +119,16 @@
         }
     }
 
-    /// Begins what counts as lately anew, so that a version which turns bad is not hidden by what it did before.
-    pub(crate) fn begin_lately(&mut self) {
+    /// Forgets what the new version did recently, so that a version which turns bad is not hidden by what it did before.
+    pub(crate) fn reset_recent(&mut self) {
         for versions in self.routes.values_mut() {
-            versions[NEW_LATELY] = Samples::default();
+            versions[NEW_RECENT] = Samples::default();
         }
     }
 
     /// Why the new version is bad; none while nothing shows it.
     pub(crate) fn fault(&self) -> Option<String> {
-        [NEW, NEW_LATELY].into_iter().find_map(|new| {
+        [NEW, NEW_RECENT].into_iter().find_map(|new| {
             let on_a_route = self.routes.iter().find_map(|(route, versions)| {
                 let fault = fault_of(&[(&versions[OLD], &versions[new])])?;
                 Some(format!("{route}: {fault}"))
@@ -333,7 +333,7 @@
     }
     let shift = new_mean - old_mean;
     // Slow upstreams of the old version may have got few requests, so that the new version's spread counts as well, where
-    // enough upstreams tell it.
+    // enough upstreams were tried.
     let within = new.variance_within() / new.timed();
     let is_known = new_count >= LEAST_UPSTREAMS;
     let spread = if is_known {
--- a/crates/dragonflystep_dispatch/src/rollout/exposure.rs
+++ b/crates/dragonflystep_dispatch/src/rollout/exposure.rs
@@ -47,26 +47,13 @@
     /// a fault on one of those shows as soon.
     pub(crate) fn asked(&mut self, route: &RouteName, rules: RolloutRules, may_be: bool) -> bool {
         self.requests += 1;
-        let all = self.requests as f64;
-        let known = self.routes.entry(route.clone()).or_default();
-        known.requests += 1;
-        let own = known.requests as f64;
-        let routes = self.routes.len() as f64;
-        let slack = rules.exposed_slack * (all / ROLLOUT_SLACK_REQUESTS).min(1.0);
-        let permitted = (rules.exposed_share * all + slack) * ROLLOUT_CANARY_USE;
-        let share = (permitted / (routes * own)).min(ROLLOUT_MOST_ROUTE_SHARE);
-        let within = self.exposed as f64 + 1.0 <= permitted + self.group;
-        let known = self.routes.entry(route.clone()).or_default();
-        known.credit = (known.credit + share).min(self.group + 1.0);
-        let has_credit = known.credit >= 1.0;
-        if self.group_left < 1.0 {
-            let credit: f64 = self.routes.values().map(|route| route.credit).sum();
-            if credit < self.group {
-                return false;
-            }
-            self.group_left = self.group;
+        let permitted = self.permitted_canaries(rules);
+        let has_credit = self.add_credit(route, permitted);
+        if !self.is_group_open() {
+            return false;
         }
-        let is_canary = may_be && within && has_credit;
+        let is_within = self.exposed as f64 + 1.0 <= permitted + self.group;
+        let is_canary = may_be && is_within && has_credit;
         if is_canary {
             self.group_left -= 1.0;
             self.exposed += 1;
@@ -75,6 +62,36 @@
         is_canary
     }
 
+    /// Canaries that are permitted by now.
+    fn permitted_canaries(&self, rules: RolloutRules) -> f64 {
+        let all = self.requests as f64;
+        let slack = rules.exposed_slack * (all / ROLLOUT_SLACK_REQUESTS).min(1.0);
+        (rules.exposed_share * all + slack) * ROLLOUT_CANARY_USE
+    }
+
+    /// Adds a request's part to what its route may send; says whether that is a whole request.
+    fn add_credit(&mut self, route: &RouteName, permitted: f64) -> bool {
+        let most = self.group + 1.0;
+        self.routes.entry(route.clone()).or_default().requests += 1;
+        let routes = self.routes.len() as f64;
+        let known = self.routes.entry(route.clone()).or_default();
+        let share = permitted / (routes * known.requests as f64);
+        known.credit = (known.credit + share.min(ROLLOUT_MOST_ROUTE_SHARE)).min(most);
+        known.credit >= 1.0
+    }
+
+    /// Whether canaries are sent now; a group begins when there is credit for all of it.
+    fn is_group_open(&mut self) -> bool {
+        if self.group_left >= 1.0 {
+            return true;
+        }
+        let credit: f64 = self.routes.values().map(|route| route.credit).sum();
+        if credit >= self.group {
+            self.group_left = self.group;
+        }
+        self.group_left >= 1.0
+    }
+
     /// Counts a request while all go to the new version.
     pub(crate) fn asked_in_switch(&mut self, route: &RouteName) {
         self.requests += 1;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -50,7 +50,7 @@
 
 /// Time within which the nodes have called an owner that counts them to its side when it gives out quotas; longer than the
 /// longest time between two exchanges of views (0.96 s).
-pub(crate) const HEARD_LATELY: Duration = Duration::from_millis(1_200);
+pub(crate) const HEARD_RECENTLY: Duration = Duration::from_millis(1_200);
 
 /// Share of that time for which a node that has just started counts as listening at least.
 pub(crate) const SHORTEST_HEARING: f64 = 0.1;
--- a/crates/dragonflystep_edge/src/members/reachability.rs
+++ b/crates/dragonflystep_edge/src/members/reachability.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Members, Other},
-    crate::limits::{CUT_OFF_FROM_OWNER, HEARD_LATELY, SMALL_SYSTEM_NODES},
+    crate::limits::{CUT_OFF_FROM_OWNER, HEARD_RECENTLY, SMALL_SYSTEM_NODES},
     dragonflystep_dispatch::{MonotonicTime, NodeName},
     dragonflystep_peer::PeerError,
 };
@@ -103,9 +103,9 @@
     }
 
     /// Nodes that called this one lately, or answered it, itself included.
-    pub(crate) fn heard_lately_count(&self, now: MonotonicTime) -> usize {
+    pub(crate) fn recently_heard_count(&self, now: MonotonicTime) -> usize {
         let suspicions = self.suspicions.borrow();
-        suspicions.heard_within(now, HEARD_LATELY) + 1
+        suspicions.heard_within(now, HEARD_RECENTLY) + 1
     }
 
     /// Records which nodes do not answer a calling node; counts where all nodes call this one.
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -8,7 +8,7 @@
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
         exchange::{exchange_views, watch_reach},
-        limits::{HEARD_LATELY, OWNERS_KEY, SHORTEST_HEARING},
+        limits::{HEARD_RECENTLY, OWNERS_KEY, SHORTEST_HEARING},
         list_fetch::ListFetches,
         members::Members,
         metrics::Metrics,
@@ -364,9 +364,9 @@
     pub(crate) fn update_heard(&self) {
         let now = self.owner.now();
         let known = self.members.known_count();
-        let heard = self.members.heard_lately_count(now);
+        let heard = self.members.recently_heard_count(now);
         // A node that has just started has heard a part of those that would call it within that time.
-        let share_of_time = now.as_secs_f64() / HEARD_LATELY.as_secs_f64();
+        let share_of_time = now.as_secs_f64() / HEARD_RECENTLY.as_secs_f64();
         let expected = heard as f64 / share_of_time.clamp(SHORTEST_HEARING, 1.0);
         let visible = (expected as usize).min(known);
         self.owner.set_heard(Reach { visible, known });
