--- a/crates/dragonflystep_dispatch/src/quota.rs
+++ b/crates/dragonflystep_dispatch/src/quota.rs
@@ -8,15 +8,12 @@
         catalogue::AccountQuota,
         ids::{AccountName, MonotonicTime},
         limits::{
-            LONGEST_RETRY_AFTER, MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, QUOTA_TOLERANCE_USE,
+            MINORITIES_QUOTA_SHARE, MINORITY_QUOTA_SHARE, QUOTA_TOLERANCE_USE,
             UNREPORTED_START_SHARE, UNREPORTED_STARTS_COVERED,
         },
         spending::SpendingReport,
     },
-    std::{
-        collections::{HashMap, VecDeque},
-        time::Duration,
-    },
+    std::{collections::HashMap, time::Duration},
 };
 
 /// How the use of accounts is judged.
@@ -49,8 +46,6 @@
     /// What it began with, by the entries' reports up to `reports_version`.
     began_with: f64,
     reports_version: Option<u64>,
-    /// Units of refused requests, with the time at which their callers are to come back.
-    promised: VecDeque<(MonotonicTime, f64)>,
 }
 
 impl Quotas {
@@ -115,7 +110,10 @@
             bucket.units -= units;
             return Ok(());
         }
-        Err(bucket.promise(now, needed, rate))
+        let missing = needed - bucket.units;
+        Err(Duration::from_secs_f64(
+            (missing / rate.max(1e-9)).min(3_600.0),
+        ))
     }
 
     /// Gives back what was taken for a request that did not run.
@@ -136,24 +134,7 @@
             began_at: now,
             began_with: 0.0,
             reports_version: None,
-            promised: VecDeque::new(),
-        }
-    }
-
-    /// When `units` will be there, after those that others were promised. All would come back together otherwise, and most
-    /// of them be refused again.
-    fn promise(&mut self, now: MonotonicTime, units: f64, rate: f64) -> Duration {
-        while self.promised.front().is_some_and(|(at, _)| *at <= now) {
-            self.promised.pop_front();
-        }
-        let promised: f64 = self.promised.iter().map(|(_, units)| units).sum();
-        let missing = (units + promised - self.units).max(0.0);
-        let wait = Duration::from_secs_f64((missing / rate.max(1e-9)).min(3_600.0));
-        // Who would wait longer than callers do takes nobody's place.
-        if wait <= LONGEST_RETRY_AFTER {
-            self.promised.push_back((now + wait, units));
         }
-        wait
     }
 
     /// Corrects what it began with by what entries have reported since.
