--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod accounts;
 pub mod engine;
 pub mod kinds;
+pub mod rollout_player;
 pub mod verdicts;
 
 use {
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -8,7 +8,7 @@
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
         exchange::{exchange_views, watch_reach},
-        limits::{HEARD_RECENTLY, OWNERS_KEY, SHORTEST_HEARING},
+        limits::OWNERS_KEY,
         list_fetch::ListFetches,
         members::Members,
         metrics::Metrics,
@@ -16,7 +16,7 @@
         peer_service::serve_peers,
         placing::EntryRuns,
         platform::Platform,
-        rollouts::Rollouts,
+        rollouts::{Rollouts, publish_rollouts},
         server::{Door, serve_door},
         settings::{MemberRecord, NodeSettings},
         stop::{StopSignal, stop},
@@ -336,42 +336,6 @@
         self.members.ranked(now, key, is_leaving, most)
     }
 
-    /// Tells the owner's side how many of the nodes are seen.
-    pub(crate) fn update_reach(&self) {
-        self.update_heard();
-        let known = self.members.known_count();
-        // Nodes that were not tried count as seen. Where none of those that were tried answers, the others are no
-        // more to be seen: nodes that are each cut off by themselves would count themselves to the majority, and each
-        // give out whole quotas.
-        let sees_others = self.members.has_discovered_peers() && !self.is_cut_off();
-        let visible = if sees_others {
-            self.members.mutual_count(self.owner.now())
-        } else {
-            1
-        };
-        if let Some(before) = self.owner.set_reach(Reach { visible, known }) {
-            let change = if visible < before.visible {
-                "fewer"
-            } else {
-                "more"
-            };
-            self.metrics.count("reach_changes_total", change);
-        }
-    }
-
-    /// Tells the owner's side how many of the nodes were heard lately. What this node sees may be of the time before a cut;
-    /// what it hears is of now.
-    pub(crate) fn update_heard(&self) {
-        let now = self.owner.now();
-        let known = self.members.known_count();
-        let heard = self.members.recently_heard_count(now);
-        // A node that has just started has heard a part of those that would call it within that time.
-        let share_of_time = now.as_secs_f64() / HEARD_RECENTLY.as_secs_f64();
-        let expected = heard as f64 / share_of_time.clamp(SHORTEST_HEARING, 1.0);
-        let visible = (expected as usize).min(known);
-        self.owner.set_heard(Reach { visible, known });
-    }
-
     /// Figures of the moment for the metrics page.
     pub(crate) fn gauges(&self) -> Vec<(&'static str, f64)> {
         let now = self.owner.now();
@@ -452,17 +416,6 @@
     }
 }
 
-/// Has the platform told of the steps that this node takes with roll-outs, for as long as the node runs.
-async fn publish_rollouts(node: Rc<Node>, platform: Rc<dyn Platform>) {
-    loop {
-        let step = node.rollouts.next_step().await;
-        let order = &step.order;
-        log::info!(service:% = order.service, to:% = order.to, number = order.number, phase:? = step.phase, evidence:% = step.reason; "roll-out step");
-        node.metrics.count("rollout_steps_total", step.phase.name());
-        spawn_local(platform.clone().publish_rollout(node.clone(), step));
-    }
-}
-
 async fn keep_house(node: Rc<Node>) {
     loop {
         sleep(HOUSEKEEPING_INTERVAL).await;
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -59,9 +59,8 @@
 
     /// Whether a node that answered `theirs` is missing something that this one knows.
     pub(crate) fn knows_more_than(&self, theirs: &Digest) -> bool {
-        let own = self.empty_digest();
-        own.registry_version > theirs.registry_version
-            || own.members_version > theirs.members_version
+        self.views.registry_list().announced_version() > theirs.registry_version
+            || self.members.list().announced_version() > theirs.members_version
     }
 
     /// Notes that another node answered an exchange.
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -1,4 +1,5 @@
-//! Of whom a node hears: the platform, other nodes, nobody; and whether it follows the platform itself.
+//! Of whom a node hears: the platform, other nodes, nobody; what it reports of that to its owner's side; and whether it
+//! follows the platform itself.
 //!
 //! The loads it answers: hundreds of nodes of which each would ask the platform for each change; a platform that refuses
 //! most nodes and serves the others; nodes that are cut off from all others.
@@ -6,10 +7,11 @@
 use {
     super::Node,
     crate::limits::{
-        FOLLOWERS_KEY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS, PLATFORM_UNHEARD,
-        PREFERRED_OWNERS, SMALL_SYSTEM_NODES, UNHEARD_FOLLOWERS_FACTOR,
+        FOLLOWERS_KEY, HEARD_RECENTLY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS,
+        PLATFORM_UNHEARD, PREFERRED_OWNERS, SHORTEST_HEARING, SMALL_SYSTEM_NODES,
+        UNHEARD_FOLLOWERS_FACTOR,
     },
-    dragonflystep_dispatch::{MonotonicTime, NodeName},
+    dragonflystep_dispatch::{MonotonicTime, NodeName, Reach},
     std::time::Duration,
 };
 
@@ -101,4 +103,40 @@
             .saturating_sub(self.platform_answered_at.get());
         silent_for > PEERS_SILENT && self.is_cut_off()
     }
+
+    /// Tells the owner's side how many of the nodes are seen.
+    pub(crate) fn update_reach(&self) {
+        self.update_heard();
+        let known = self.members.known_count();
+        // Nodes that were not tried count as seen. Where none of those that were tried answers, the others are no
+        // more to be seen: nodes that are each cut off by themselves would count themselves to the majority, and each
+        // give out whole quotas.
+        let sees_others = self.members.has_discovered_peers() && !self.is_cut_off();
+        let visible = if sees_others {
+            self.members.mutual_count(self.owner.now())
+        } else {
+            1
+        };
+        if let Some(before) = self.owner.set_reach(Reach { visible, known }) {
+            let change = if visible < before.visible {
+                "fewer"
+            } else {
+                "more"
+            };
+            self.metrics.count("reach_changes_total", change);
+        }
+    }
+
+    /// Tells the owner's side how many of the nodes were heard lately. What this node sees may be of the time before a cut;
+    /// what it hears is of now.
+    pub(crate) fn update_heard(&self) {
+        let now = self.owner.now();
+        let known = self.members.known_count();
+        let heard = self.members.recently_heard_count(now);
+        // A node that has just started has heard a part of those that would call it within that time.
+        let share_of_time = now.as_secs_f64() / HEARD_RECENTLY.as_secs_f64();
+        let expected = heard as f64 / share_of_time.clamp(SHORTEST_HEARING, 1.0);
+        let visible = (expected as usize).min(known);
+        self.owner.set_heard(Reach { visible, known });
+    }
 }
--- a/crates/dragonflystep_edge/src/rollouts.rs
+++ b/crates/dragonflystep_edge/src/rollouts.rs
@@ -5,7 +5,7 @@
 //! decided.
 
 use {
-    crate::{list_version::is_same_order, node::Node},
+    crate::{list_version::is_same_order, node::Node, platform::Platform},
     dragonflystep_dispatch::{
         Event, MonotonicTime, RolloutOrder, RolloutPhase, RolloutStep, ServiceName, UpstreamVersion,
     },
@@ -13,9 +13,10 @@
     std::{
         cell::RefCell,
         collections::{BTreeMap, VecDeque},
+        rc::Rc,
         time::Duration,
     },
-    tokio::sync::Notify,
+    tokio::{sync::Notify, task::spawn_local},
 };
 
 /// Orders that are known at most; one for each service.
@@ -201,3 +202,14 @@
         }
     }
 }
+
+/// Has the platform told of the steps that this node takes with roll-outs, for as long as the node runs.
+pub(crate) async fn publish_rollouts(node: Rc<Node>, platform: Rc<dyn Platform>) {
+    loop {
+        let step = node.rollouts.next_step().await;
+        let order = &step.order;
+        log::info!(service:% = order.service, to:% = order.to, number = order.number, phase:? = step.phase, evidence:% = step.reason; "roll-out step");
+        node.metrics.count("rollout_steps_total", step.phase.name());
+        spawn_local(platform.clone().publish_rollout(node.clone(), step));
+    }
+}
