Read, log and count the rate limits that upstreams name in their answers

Solution: the adapter decodes the header once; an unreadable value is its own case, logged and ignored. The entry logs and counts each answer that names a limit. No decision changes.

--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -41,6 +41,18 @@
     pub resume_after: Option<&'a str>,
 }
 
+/// Something that an upstream may state in the head of an answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Stated<T> {
+    /// The answer does not state it.
+    #[default]
+    Absent,
+    /// It has a value that is not understood, and from which nothing follows.
+    Unreadable(String),
+    /// It has this value.
+    Value(T),
+}
+
 /// What the head of an upstream's answer says.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerFacts {
@@ -54,6 +66,8 @@
     pub is_signed: bool,
     /// Requests that run and wait at the upstream, if it says so.
     pub load: Option<(u32, u32)>,
+    /// Requests a second that the upstream takes from all nodes together.
+    pub rate_limit_per_s: Stated<f64>,
     /// How long the connection may stay unused.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -18,6 +18,7 @@
         stop::OpenRequest,
         upstream_connections::{OpenConnection, SendError},
         upstream_health::confirm_upstream,
+        upstream_notices::observe_notices,
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
@@ -213,6 +214,8 @@
             .node
             .dialect
             .read_answer(response.status(), response.headers());
+        let upstream = &place.grant.upstream;
+        observe_notices(&self.node, upstream, &self.facts.request_id, &facts);
         if let Some((running, waiting)) = facts.load
             && waiting > 0
         {
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -37,13 +37,16 @@
 mod suspicion;
 mod upstream_connections;
 mod upstream_health;
+mod upstream_notices;
 mod versioned_list;
 mod views;
 
 pub use self::{
     answer::{AnswerBody, AnswerCut, end_to_end_headers},
     burn::{EdgeBurnReport, RouteBurn},
-    dialect::{AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, UpstreamFacts},
+    dialect::{
+        AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, Stated, UpstreamFacts,
+    },
     limits::OWNER_FEED_WAIT,
     list_version::{
         ListReading, era_of, is_older_copy, is_same_order, order_number, recalls_before,
