Keep all nodes together to the rate limits that upstreams name

Cause: nobody read the limit (first hypothesis). That each node keeps a limit for itself could not be, since none kept one.

Solution: what an upstream states in an answer is a notice with an age, kept by every node. The entry applies it and tells the owner that gave the place; a new owner is told before the first request; nodes pass notices on in answers to exchanges of views. The later statement holds, and a limit ends only with an answer to a request that was sent after it was named. The owner paces requests by permits that accrue at the rate and begins without one, so that owners in a row stay within the limit together; a node without a majority uses its part of it. It holds for all that asks for places: first tries, repeats, resumed streams, requests that wait, canaries, upstreams used in need, entries that lapse and return. The wait that is predicted to those who are refused counts a limited upstream by its rate.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -5,7 +5,8 @@
         ask::{Ask, Ended, RefusalReason, RunOutcome, RunningRun, UpstreamLoad, Verdict},
         catalogue::Catalogue,
         crash_suspects::CrashSuspects,
-        ids::{MonotonicTime, RunId, ServiceName},
+        ids::{MonotonicTime, RunId, ServiceName, UpstreamId},
+        notices::{UpstreamNotice, UpstreamNotices},
         ownership::{Reach, member_share},
         pool::{PoolSummary, ServicePool},
         quota::{QuotaRules, Quotas},
@@ -15,7 +16,11 @@
         spending::SpendingReport,
         upstream::Upstream,
     },
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Limits that operators set for all nodes together.
@@ -70,6 +75,8 @@
     HeardChanged(Reach),
     /// An upstream said that requests wait there.
     LoadObserved(UpstreamLoad),
+    /// An upstream said something of itself in an answer.
+    Noticed(UpstreamNotice),
     /// An operator orders that a service's requests move to another version, or the order is known better.
     RolloutOrdered(RolloutOrder),
     /// An order of a number was decided by another node, or earlier.
@@ -117,6 +124,7 @@
     suspects: CrashSuspects,
     rollout_rules: RolloutRules,
     rollout_steps: Vec<RolloutStep>,
+    notices: UpstreamNotices,
 }
 
 impl Dispatcher {
@@ -131,6 +139,7 @@
             suspects: CrashSuspects::default(),
             rollout_rules: limits.rollout,
             rollout_steps: Vec::new(),
+            notices: UpstreamNotices::default(),
         }
     }
 
@@ -167,6 +176,7 @@
                 let places = (!reach.is_majority()).then(|| reach.fraction());
                 for pool in self.pools.values_mut() {
                     pool.limit_places(places);
+                    pool.set_limits_share(now, self.share);
                 }
             }
             Event::HeardChanged(heard) => {
@@ -177,6 +187,7 @@
                     pool.load_observed(now, &load);
                 }
             }
+            Event::Noticed(notice) => self.noticed(now, &notice, &mut effects),
             Event::RolloutOrdered(order) => {
                 let pool = self.pools.entry(order.service.clone()).or_default();
                 pool.order_rollout(now, order, self.rollout_rules);
@@ -204,6 +215,16 @@
         effects
     }
 
+    /// What upstreams said of themselves and another node has to know, the latest first.
+    pub fn notices(&self, now: MonotonicTime) -> Vec<UpstreamNotice> {
+        self.notices.to_share(now)
+    }
+
+    /// Requests a second that an upstream takes from all nodes together, if it names a limit.
+    pub fn rate_limit(&self, upstream: &UpstreamId) -> Option<f64> {
+        self.notices.rate_limit(upstream)
+    }
+
     /// Services that something is known of.
     pub fn service_count(&self) -> usize {
         self.pools.len()
@@ -303,6 +324,17 @@
         pool.place_waiting(now, effects);
     }
 
+    fn noticed(&mut self, now: MonotonicTime, notice: &UpstreamNotice, effects: &mut Vec<Effect>) {
+        if !self.notices.apply(now, notice) {
+            return;
+        }
+        let limit = self.notices.rate_limit(&notice.upstream);
+        if let Some(pool) = self.pools.get_mut(&notice.service) {
+            pool.set_rate_limit(now, &notice.upstream, limit);
+            pool.place_waiting(now, effects);
+        }
+    }
+
     fn set_catalogue(&mut self, catalogue: &Catalogue) {
         for service in &catalogue.services {
             let pool = self.pools.entry(service.name.clone()).or_default();
@@ -317,6 +349,9 @@
     }
 
     fn set_upstreams(&mut self, now: MonotonicTime, upstreams: Vec<Upstream>) {
+        let listed: HashSet<UpstreamId> = upstreams.iter().map(|one| one.id.clone()).collect();
+        self.notices
+            .forget_old(now, |upstream| listed.contains(upstream));
         let mut by_service: HashMap<ServiceName, Vec<Upstream>> = HashMap::new();
         for upstream in upstreams {
             let of_service = by_service.entry(upstream.service.clone()).or_default();
@@ -327,6 +362,8 @@
         }
         for (name, pool) in &mut self.pools {
             pool.set_upstreams(now, by_service.remove(name).unwrap_or_default());
+            pool.set_limits_share(now, self.share);
+            pool.keep_rate_limits(now, &self.notices);
         }
         // Entries of the registry may name any service; what they leave behind must not pile up.
         self.pools.retain(|_, pool| !pool.is_unused());
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -11,7 +11,9 @@
 mod dispatcher;
 mod ids;
 mod limits;
+mod notices;
 mod ownership;
+mod pacer;
 mod placement;
 mod pool;
 mod queue;
@@ -39,6 +41,7 @@
         AccountName, DataCentreName, MonotonicTime, NodeName, PartId, RequestFingerprint,
         RouteName, RunId, ServiceName, Tier, UpstreamId, UpstreamVersion,
     },
+    notices::{NoticeKind, UpstreamNotice},
     ownership::{Member, Reach, member_share, rank_owners},
     pool::{PoolSummary, UpstreamSummary},
     quota::QuotaRules,
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -132,6 +132,19 @@
 /// run's length.
 pub(crate) const FOREIGN_LOAD_MEMORY: Duration = Duration::from_millis(600);
 
+/// Lowest rate at which an upstream gets requests that limits its rate, in requests a second of all nodes together; they show
+/// when the limit is over.
+pub(crate) const LEAST_TRIAL_RATE_PER_S: f64 = 0.1;
+
+/// Time over which a limited rate may be made up for, in seconds; several looks at the queue.
+pub(crate) const PACED_BURST_S: f64 = 0.1;
+
+/// Time for which it is remembered what an upstream said of itself that is not listed any more, or that no longer holds.
+pub(crate) const NOTICE_MEMORY: Duration = Duration::from_secs(60);
+
+/// Notices of upstreams that one node passes on to another at once; some 4 KB.
+pub(crate) const MAX_NOTICES_SHARED: usize = 64;
+
 /// Spread of the costs of upstreams among the requests of a node that sees no majority, as a share: many
 /// such nodes would otherwise all choose the same upstream.
 pub(crate) const MINORITY_COST_SPREAD: f64 = 1.0;
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -14,8 +14,9 @@
         ask::Ask,
         catalogue::Engine,
         dispatcher::Effect,
-        ids::{MonotonicTime, RunId, Tier},
+        ids::{MonotonicTime, RunId, Tier, UpstreamId},
         limits::{DEFAULT_CACHE_TOKENS, MOST_PASSED_OVER, UNORDERED_VERSION_HOLD},
+        notices::UpstreamNotices,
         queue::{WaitQueue, Waiting},
         refusal::{ArrivalRates, longest_wait},
         refused_requests::RefusedRequests,
@@ -42,6 +43,8 @@
     granted: u64,
     /// Share of the places that this owner may use, if it sees no majority of the nodes.
     places_share: Option<f64>,
+    /// Share of the limits common to all nodes that this owner may use; none is all of them.
+    limits_share: Option<f64>,
     /// When each tier got its last place.
     granted_at: BTreeMap<Tier, MonotonicTime>,
     rollout: Option<Rollout>,
@@ -92,6 +95,37 @@
         self.forget_replaced_rollout();
     }
 
+    /// Keeps to the rate limit that an upstream names, or to none any more.
+    pub(crate) fn set_rate_limit(
+        &mut self,
+        now: MonotonicTime,
+        upstream: &UpstreamId,
+        requests_per_s: Option<f64>,
+    ) {
+        let share = self.limits_share.unwrap_or(1.0);
+        let mut upstreams = self.upstreams.iter_mut();
+        if let Some(upstream) = upstreams.find(|one| one.entry.id == *upstream) {
+            upstream.set_rate_limit(now, requests_per_s, share);
+        }
+    }
+
+    /// Keeps to the rate limits that are known of upstreams which are new in the registry.
+    pub(crate) fn keep_rate_limits(&mut self, now: MonotonicTime, notices: &UpstreamNotices) {
+        let share = self.limits_share.unwrap_or(1.0);
+        for upstream in &mut self.upstreams {
+            let limit = notices.rate_limit(&upstream.entry.id);
+            upstream.set_rate_limit(now, limit, share);
+        }
+    }
+
+    /// Uses another share of the limits common to all nodes from now on.
+    pub(crate) fn set_limits_share(&mut self, now: MonotonicTime, share: f64) {
+        self.limits_share = Some(share);
+        for upstream in &mut self.upstreams {
+            upstream.set_rate_share(now, share);
+        }
+    }
+
     /// Whether nothing would be lost with it.
     pub(crate) fn is_unused(&self) -> bool {
         self.engine.is_none()
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -59,7 +59,7 @@
             }
             if upstream.has_room(now) {
                 room.free.push(index);
-            } else if upstream.is_usable(now) {
+            } else if upstream.is_usable(now) && upstream.has_permit(now) {
                 let speed = upstream.speed.prefill_ms_per_token;
                 let fastest = room.fastest_full.unwrap_or(f64::INFINITY);
                 room.fastest_full = Some(fastest.min(speed));
@@ -69,8 +69,9 @@
             // All that are left rest for failures: some answers are better than none. Resting the only upstream
             // would refuse every request of its service.
             let upstreams = self.upstreams.iter().enumerate();
-            let in_need = upstreams
-                .filter(|(_, upstream)| self.takes_main(upstream) && upstream.has_room_in_need());
+            let in_need = upstreams.filter(|(_, upstream)| {
+                self.takes_main(upstream) && upstream.has_room_in_need(now)
+            });
             room.free.extend(in_need.map(|(index, _)| index));
         }
         room
@@ -140,6 +141,7 @@
         let run = ask.run;
         self.granted += 1;
         self.granted_at.insert(ask.tier, now);
+        self.upstreams[index].take_permit(now);
         self.start_run(now, ask, index, prediction);
         Effect {
             run,
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -87,7 +87,7 @@
             .upstreams
             .iter()
             .filter(|one| one.is_usable(now) && self.takes_main(one))
-            .map(|one| f64::from(one.slots()))
+            .map(|one| one.effective_places(own_run_ms))
             .sum();
         if places == 0.0 {
             return Duration::ZERO;
--- a/crates/dragonflystep_dispatch/src/pool/summary.rs
+++ b/crates/dragonflystep_dispatch/src/pool/summary.rs
@@ -14,6 +14,8 @@
     pub running: usize,
     /// Whether it takes requests now.
     pub is_usable: bool,
+    /// Requests a second that this owner may send there, if it names a rate limit.
+    pub limited_per_s: Option<f64>,
     /// Microseconds to read a prompt token.
     pub prefill_us_per_token: f64,
     /// Milliseconds from event to event.
@@ -42,6 +44,7 @@
             id: upstream.entry.id.clone(),
             running: upstream.runs.len(),
             is_usable: upstream.is_usable(now),
+            limited_per_s: upstream.limited_per_s(),
             prefill_us_per_token: upstream.speed.prefill_ms_per_token * 1e3,
             ms_per_event: upstream.speed.ms_per_event,
             failure_rate: upstream.failure_rate,
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -9,6 +9,7 @@
             DEFAULT_SLOTS, FAILURES_BEFORE_REST, FIRST_REST, FOREIGN_LOAD_MEMORY, FORGOTTEN_RUN,
             FULL_REST, LONGEST_REST, MEAN_WEIGHT,
         },
+        pacer::RequestPacer,
         speed::Speed,
     },
     serde::{Deserialize, Serialize},
@@ -79,6 +80,8 @@
     is_unreachable: bool,
     rest: Duration,
     rests_until: MonotonicTime,
+    /// Keeps to the rate limit that it names.
+    pacer: Option<RequestPacer>,
 }
 
 impl LiveUpstream {
@@ -96,9 +99,59 @@
             is_unreachable: false,
             rest: FIRST_REST,
             rests_until: Duration::ZERO,
+            pacer: None,
         }
     }
 
+    /// Keeps to a rate limit from now on, of which this owner may use a share, or to none.
+    pub(crate) fn set_rate_limit(
+        &mut self,
+        now: MonotonicTime,
+        requests_per_s: Option<f64>,
+        share: f64,
+    ) {
+        self.pacer = match (self.pacer.take(), requests_per_s) {
+            (_, None) => None,
+            (None, Some(rate)) => Some(RequestPacer::new(now, rate, share)),
+            (Some(mut pacer), Some(rate)) => {
+                pacer.set_rate(now, rate);
+                Some(pacer)
+            }
+        };
+    }
+
+    /// Uses another share of its rate limit from now on.
+    pub(crate) fn set_rate_share(&mut self, now: MonotonicTime, share: f64) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.set_share(now, share);
+        }
+    }
+
+    /// Requests a second that this owner may send there, if it is limited.
+    pub(crate) fn limited_per_s(&self) -> Option<f64> {
+        self.pacer.as_ref().map(RequestPacer::requests_per_s)
+    }
+
+    /// Whether its rate limit leaves room for a request.
+    pub(crate) fn has_permit(&self, now: MonotonicTime) -> bool {
+        let pacer = self.pacer.as_ref();
+        pacer.is_none_or(|pacer| pacer.has_permit(now))
+    }
+
+    /// Counts a request against its rate limit.
+    pub(crate) fn take_permit(&mut self, now: MonotonicTime) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.take(now);
+        }
+    }
+
+    /// Requests that it has under way at once when all of `run_ms` are sent that it takes.
+    pub(crate) fn effective_places(&self, run_ms: f64) -> f64 {
+        let places = f64::from(self.slots());
+        self.limited_per_s()
+            .map_or(places, |rate| places.min(rate * run_ms / 1e3))
+    }
+
     /// Lets it rest until a time.
     pub(crate) fn hold(&mut self, until: MonotonicTime) {
         self.rests_until = self.rests_until.max(until);
@@ -123,7 +176,7 @@
 
     /// Whether a request can start at once.
     pub(crate) fn has_room(&self, now: MonotonicTime) -> bool {
-        if !self.is_usable(now) {
+        if !self.is_usable(now) || !self.has_permit(now) {
             return false;
         }
         // After a rest one request at a time shows whether the upstream is back.
@@ -148,8 +201,9 @@
     }
 
     /// Whether it could run a request although it rests for failures of its answers.
-    pub(crate) fn has_room_in_need(&self) -> bool {
+    pub(crate) fn has_room_in_need(&self, now: MonotonicTime) -> bool {
         self.entry.phase == UpstreamPhase::Ready
+            && self.has_permit(now)
             && self.is_suspended()
             && (self.runs.len() as u32) < self.slots()
     }
--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -105,7 +105,7 @@
     digest.unavailable.retain(|other| *other != peer);
     let asked_at = node.owner.now();
     match link.exchange(&digest, EXCHANGE_TIMEOUT).await {
-        Ok(theirs) => {
+        Ok(mut theirs) => {
             let now = node.owner.now();
             let is_owner = node.is_owner_for_all(&peer);
             if node.members.answered(now, &peer, theirs.is_leaving) {
@@ -115,6 +115,12 @@
             node.note_platform_heard(asked_at.saturating_sub(theirs.platform_heard));
             node.note_exchange();
             node.answered_by(&theirs, is_owner);
+            // The age of what it knows is counted from the call on as well.
+            let mut notices = std::mem::take(&mut theirs.notices);
+            for notice in &mut notices {
+                notice.age += now.saturating_sub(asked_at);
+            }
+            node.learn_notices(notices, &peer);
             fetch_if_newer(&node, &theirs);
             if node.knows_more_than(&theirs) {
                 tell_more(&node, &peer, &link, &theirs).await;
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -18,7 +18,6 @@
         stop::OpenRequest,
         upstream_connections::{OpenConnection, SendError},
         upstream_health::confirm_upstream,
-        upstream_notices::observe_notices,
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
@@ -192,6 +191,7 @@
         let request = self.upstream_request(&place.grant.upstream, resume_after.as_deref());
         let address = place.grant.address.clone();
         let last = self.time_left() + LATE_ANSWER_MARGIN;
+        let sent_at = Instant::now();
         let sending = self.node.connections.send(&address, request);
         let (response, connection) = match timeout(last, sending).await {
             Ok(Ok(sent)) => sent,
@@ -214,8 +214,10 @@
             .node
             .dialect
             .read_answer(response.status(), response.headers());
-        let upstream = &place.grant.upstream;
-        observe_notices(&self.node, upstream, &self.facts.request_id, &facts);
+        if self.is_answered_by(&facts) && !facts.is_misdirected {
+            let request_id = &self.facts.request_id;
+            place.observe_notices(request_id, &facts, sent_at.elapsed());
+        }
         if let Some((running, waiting)) = facts.load
             && waiting > 0
         {
@@ -224,6 +226,11 @@
         self.judge(place, response, connection, facts).await
     }
 
+    /// Whether an answer is one to this request.
+    fn is_answered_by(&self, facts: &AnswerFacts) -> bool {
+        facts.request_id == self.facts.request_id || facts.is_not_run
+    }
+
     /// Decides what an upstream's head of an answer means.
     async fn judge(
         self: Rc<Self>,
@@ -232,7 +239,7 @@
         connection: OpenConnection,
         facts: AnswerFacts,
     ) -> Sent {
-        if facts.request_id != self.facts.request_id && !facts.is_not_run {
+        if !self.is_answered_by(&facts) {
             log::warn!(request:% = self.facts.request_id, other:% = facts.request_id; "an answer belongs to another request");
             place.end(RunOutcome::Broken, RunFigures::default());
             return Sent::Unknown("foreign_answer");
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -32,6 +32,7 @@
     pub(crate) fn digest_for(&self, theirs: &Digest, unavailable: Vec<NodeName>) -> Digest {
         let mut digest = self.empty_digest();
         digest.unavailable = unavailable;
+        digest.notices = self.owner.notices();
         let registry = self.views.registry_list();
         if let Some(changes) = registry.few_changes_since(theirs.registry_version, MAX_PIGGYBACKED)
         {
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -7,7 +7,8 @@
     },
     dragonflystep_dispatch::{
         Ask, Dispatcher, Effect, Ended, Event, Grant, MonotonicTime, PoolSummary, Reach,
-        RefusalReason, RunId, RunOutcome, RunningRun, ServiceName, SharedLimits, Verdict,
+        RefusalReason, RunId, RunOutcome, RunningRun, ServiceName, SharedLimits, UpstreamId,
+        UpstreamNotice, Verdict,
     },
     std::{
         cell::{Cell, RefCell},
@@ -111,6 +112,16 @@
         self.heard.get().is_majority()
     }
 
+    /// What upstreams said of themselves and another node has to know.
+    pub(crate) fn notices(&self) -> Vec<UpstreamNotice> {
+        self.dispatcher.borrow().notices(self.now())
+    }
+
+    /// Requests a second that an upstream takes from all nodes together, if it names a limit.
+    pub(crate) fn rate_limit(&self, upstream: &UpstreamId) -> Option<f64> {
+        self.dispatcher.borrow().rate_limit(upstream)
+    }
+
     /// Asks for a place and waits for the verdict; dropping the future withdraws the request.
     pub(crate) async fn ask(self: Rc<Self>, ask: Ask) -> Verdict {
         let (sender, receiver) = oneshot::channel();
@@ -200,14 +211,18 @@
     }
 }
 
-/// Upstreams as ID:RUNNING/PREFILL_US/EVENT_MS/FAILURES, those at rest with an exclamation mark.
+/// Upstreams as ID:RUNNING/PREFILL_US/EVENT_MS/FAILURES, those at rest with an exclamation mark, those that limit their rate
+/// with the requests a second that this owner may send, as ID~RATE.
 fn describe(summary: &PoolSummary) -> String {
     let mut text = String::new();
     for upstream in &summary.upstreams {
         let rests = if upstream.is_usable { "" } else { "!" };
+        let limit = upstream
+            .limited_per_s
+            .map_or(String::new(), |rate| format!("~{rate:.2}"));
         let _ = write!(
             text,
-            "{}{rests}:{}/{:.0}/{:.1}/{:.2} ",
+            "{}{rests}{limit}:{}/{:.0}/{:.1}/{:.2} ",
             upstream.id,
             upstream.running,
             upstream.prefill_us_per_token,
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -4,7 +4,7 @@
     crate::{exchange::exchange_with, list_fetch::fetch_if_newer, node::Node, owner::cancelled},
     dragonflystep_dispatch::{
         Ask, Ended, Event, NodeName, RunId, RunningRun, ServiceName, SpendingReport, UpstreamLoad,
-        Verdict,
+        UpstreamNotice, Verdict,
     },
     dragonflystep_peer::{
         Digest, ListPiece, ListPieceAsk, PeerHandler, PeerListener, VerdictFuture, serve_peer,
@@ -100,6 +100,11 @@
         self.node.owner.apply(Event::LoadObserved(load));
     }
 
+    fn noticed(&self, notices: Vec<UpstreamNotice>) {
+        let peer = self.peer.borrow().clone().unwrap_or_default();
+        self.node.learn_notices(notices, &peer);
+    }
+
     fn list_since(&self, ask: ListPieceAsk) -> ListPiece {
         self.node.list_piece(ask)
     }
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -2,13 +2,15 @@
 
 use {
     crate::{
+        dialect::AnswerFacts,
         limits::{MOST_OWNERS_ASKED, OWNER_SIGN_TIMEOUT, OWNER_SILENCE},
         node::Node,
         owner::cancelled,
+        upstream_notices::ObservedAnswer,
     },
     dragonflystep_dispatch::{
         Ask, Ended, Event, Grant, MonotonicTime, NodeName, RunId, RunOutcome, RunningRun,
-        SpendingLedger, SpendingReport, UpstreamLoad, Verdict,
+        SpendingLedger, SpendingReport, UpstreamLoad, UpstreamNotice, Verdict,
     },
     dragonflystep_peer::{PeerError, PeerLink},
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
@@ -129,6 +131,23 @@
         self.started.elapsed()
     }
 
+    /// Applies what an answer to `request_id` says of the upstream, also at the owner that gave the place.
+    pub fn observe_notices(&self, request_id: &str, facts: &AnswerFacts, sent_ago: Duration) {
+        let notices = self.node.observe_notices(&ObservedAnswer {
+            service: &self.service,
+            upstream: &self.grant.upstream,
+            request_id,
+            facts,
+            sent_ago,
+        });
+        let Some(owner) = self.owner() else {
+            return;
+        };
+        if let Some(link) = self.node.members.link(&owner) {
+            spawn_local(tell_notices(link, notices));
+        }
+    }
+
     /// Tells the owner that requests wait at the upstream.
     pub(crate) fn tell_load(&self, running: u32, waiting: u32) {
         let load = UpstreamLoad {
@@ -137,15 +156,14 @@
             running,
             waiting,
         };
-        let runs = self.node.entry_runs.runs.borrow();
-        let Some(run) = runs.get(&self.run) else {
+        let Some(owner) = self.owner() else {
             return;
         };
-        if run.owner.0 == self.node.settings.node {
+        if owner == self.node.settings.node {
             self.node.owner.apply(Event::LoadObserved(load));
             return;
         }
-        let Some(link) = self.node.members.link(&run.owner.0) else {
+        let Some(link) = self.node.members.link(&owner) else {
             return;
         };
         spawn_local(async move {
@@ -155,6 +173,12 @@
         });
     }
 
+    /// The owner that counts this run.
+    fn owner(&self) -> Option<NodeName> {
+        let runs = self.node.entry_runs.runs.borrow();
+        Some(runs.get(&self.run)?.owner.0.clone())
+    }
+
     /// Tells the owner how the run ended.
     pub fn end(mut self, outcome: RunOutcome, figures: RunFigures) {
         self.tell(outcome, figures);
@@ -317,6 +341,7 @@
         return;
     }
     if let Some(report) = spending {
+        spawn_local(tell_notices(link.clone(), node.owner.notices()));
         let link = link.clone();
         spawn_local(async move {
             if let Err(error) = link.spent(&report).await {
@@ -335,6 +360,16 @@
     tokio::task::yield_now().await;
 }
 
+/// Tells an owner what upstreams said of themselves.
+async fn tell_notices(link: Rc<PeerLink>, notices: Vec<UpstreamNotice>) {
+    if notices.is_empty() {
+        return;
+    }
+    if let Err(error) = link.noticed(&notices).await {
+        log::debug!(error:%; "an owner was not told what upstreams said of themselves");
+    }
+}
+
 /// Withdraws a request from another owner when its asker is gone.
 struct WithdrawGuard<'a> {
     node: &'a Rc<Node>,
--- a/crates/dragonflystep_edge/src/upstream_notices.rs
+++ b/crates/dragonflystep_edge/src/upstream_notices.rs
@@ -1,29 +1,89 @@
-//! What upstreams say of themselves in the heads of their answers.
+//! What upstreams say of themselves in the heads of their answers, on its way to those who place requests there.
+//!
+//! Each node knows what it read itself and what other nodes told it, since any of them may own the services next.
 
 use {
     crate::{
         dialect::{AnswerFacts, Stated},
         node::Node,
     },
-    dragonflystep_dispatch::UpstreamId,
+    dragonflystep_dispatch::{Event, NoticeKind, ServiceName, UpstreamId, UpstreamNotice},
+    std::time::Duration,
 };
 
-/// Logs and counts what an answer says of its upstream.
-pub(crate) fn observe_notices(
-    node: &Node,
-    upstream: &UpstreamId,
-    request_id: &str,
-    facts: &AnswerFacts,
-) {
-    match &facts.rate_limit_per_s {
-        Stated::Absent => {}
-        Stated::Unreadable(text) => {
-            log::warn!(request = request_id, upstream:%, text:%; "upstream states a rate limit that is not understood; it is ignored");
-            node.metrics.count("upstream_notices_total", "unreadable");
+/// An answer of an upstream.
+pub(crate) struct ObservedAnswer<'a> {
+    pub(crate) service: &'a ServiceName,
+    pub(crate) upstream: &'a UpstreamId,
+    /// The request that was answered; empty for a question of the node's own.
+    pub(crate) request_id: &'a str,
+    pub(crate) facts: &'a AnswerFacts,
+    /// Time since the request was sent.
+    pub(crate) sent_ago: Duration,
+}
+
+impl Node {
+    /// Applies what an answer says of its upstream; returns what the owner of the service has to be told.
+    pub(crate) fn observe_notices(&self, answer: &ObservedAnswer<'_>) -> Vec<UpstreamNotice> {
+        let notices: Vec<_> = self.read_notices(answer).collect();
+        for notice in &notices {
+            self.apply_notice(notice, "answer", answer.request_id);
+        }
+        notices
+    }
+
+    /// Applies what another node was told by upstreams.
+    pub(crate) fn learn_notices(&self, notices: Vec<UpstreamNotice>, source: &str) {
+        for notice in notices {
+            self.apply_notice(&notice, source, "");
+        }
+    }
+
+    fn read_notices(&self, answer: &ObservedAnswer<'_>) -> impl Iterator<Item = UpstreamNotice> {
+        let limit = self.read_rate_limit(answer);
+        limit.into_iter().map(|(kind, age)| UpstreamNotice {
+            service: answer.service.clone(),
+            upstream: answer.upstream.clone(),
+            kind,
+            age,
+        })
+    }
+
+    fn read_rate_limit(&self, answer: &ObservedAnswer<'_>) -> Option<(NoticeKind, Duration)> {
+        match &answer.facts.rate_limit_per_s {
+            Stated::Value(requests_per_s) => {
+                self.metrics.count("upstream_notices_total", "rate_limit");
+                let requests_per_s = *requests_per_s;
+                Some((NoticeKind::RateLimited { requests_per_s }, Duration::ZERO))
+            }
+            Stated::Unreadable(text) => {
+                log::warn!(request = answer.request_id, upstream:% = answer.upstream, text:%; "upstream states a rate limit that is not understood; it is ignored");
+                self.metrics.count("upstream_notices_total", "unreadable");
+                None
+            }
+            Stated::Absent => {
+                self.owner.rate_limit(answer.upstream)?;
+                // The answer may have been made at any moment since the request was sent.
+                Some((NoticeKind::RateUnlimited, answer.sent_ago))
+            }
+        }
+    }
+
+    fn apply_notice(&self, notice: &UpstreamNotice, source: &str, request_id: &str) {
+        let upstream = &notice.upstream;
+        let before = self.owner.rate_limit(upstream);
+        self.owner.apply(Event::Noticed(notice.clone()));
+        let limit = self.owner.rate_limit(upstream);
+        if limit == before {
+            return;
         }
-        Stated::Value(requests_per_s) => {
-            log::info!(request = request_id, upstream:%, requests_per_s; "upstream limits its rate");
-            node.metrics.count("upstream_notices_total", "rate_limit");
+        match limit {
+            Some(requests_per_s) => {
+                log::info!(request = request_id, upstream:%, requests_per_s, source; "upstream limits its rate");
+            }
+            None => {
+                log::info!(request = request_id, upstream:%, source; "upstream no longer limits its rate");
+            }
         }
     }
 }
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -53,6 +53,18 @@
 # What an upstream said of its load.
 struct UpstreamLoad { service @0 :Text; upstream @1 :Text; running @2 :UInt32; waiting @3 :UInt32; }
 
+# What an upstream said of itself, `ageUs` ago.
+struct UpstreamNotice {
+  service @0 :Text;
+  upstream @1 :Text;
+  ageUs @2 :UInt64;
+  union {
+    # Requests a second that it takes from all nodes together.
+    requestsPerS @3 :Float64;
+    rateUnlimited @4 :Void;
+  }
+}
+
 # What an account spent within a short time that ended `ageUs` ago.
 struct SpentSlice { ageUs @0 :UInt64; units @1 :Float64; unitsGrantedByReceiver @2 :Float64; }
 
@@ -78,6 +90,8 @@
   platformHeardUs @9 :UInt64;
   # Roll-outs that the node knows of; empty when there are none.
   rollouts @10 :Data;
+  # What upstreams said of themselves; only in answers, whose age the calling node can bound.
+  notices @11 :List(UpstreamNotice);
 }
 
 interface Peer {
@@ -89,6 +103,7 @@
   spent @5 (report :SpendingReport) -> ();
   # A piece of what a node lacks that has the given version of a list; 0 asks for all of it.
   listSince @6 (piece :ListPieceAsk) -> (piece :ListPiece);
+  noticed @7 (notices :List(UpstreamNotice)) -> ();
 }
 
 # The lists that nodes pass on to one another.
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Digest, ListName, ListPiece, ListPieceAsk, PeerError,
+        notice_codec::{decode_notices, encode_notices},
         peer_capnp::{
             self, account_spending, ask, digest, ended, list_piece, list_piece_ask, running_run,
             spending_report, upstream_load, verdict,
@@ -311,6 +312,8 @@
     out.set_members_version(digest.members_version);
     out.set_members(&digest.members);
     out.set_rollouts(&digest.rollouts);
+    let notices = out.init_notices(digest.notices.len() as u32);
+    encode_notices(&digest.notices, notices);
 }
 
 pub(crate) fn decode_digest(input: digest::Reader<'_>) -> Result<Digest, PeerError> {
@@ -325,5 +328,6 @@
         members_version: input.get_members_version(),
         members: input.get_members()?.to_vec(),
         rollouts: input.get_rollouts()?.to_vec(),
+        notices: decode_notices(input.get_notices()?)?,
     })
 }
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -9,6 +9,7 @@
 mod generated;
 mod link;
 mod network;
+mod notice_codec;
 mod server;
 mod sockets;
 
@@ -23,7 +24,7 @@
 };
 
 use {
-    dragonflystep_dispatch::{MonotonicTime, NodeName},
+    dragonflystep_dispatch::{MonotonicTime, NodeName, UpstreamNotice},
     std::time::Duration,
 };
 
@@ -64,7 +65,7 @@
 }
 
 /// What a node tells another one of its view.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Digest {
     /// The node that tells.
     pub node: NodeName,
@@ -86,6 +87,8 @@
     pub platform_heard: Duration,
     /// Roll-outs that it knows of; empty when there are none.
     pub rollouts: Vec<u8>,
+    /// What upstreams said of themselves; only in answers.
+    pub notices: Vec<UpstreamNotice>,
 }
 
 /// Durations cross the wire as whole microseconds.
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -7,13 +7,15 @@
             decode_digest, decode_list_piece, decode_verdict, encode_ask, encode_digest,
             encode_ended, encode_list_ask, encode_load, encode_running, encode_spending,
         },
+        notice_codec::encode_notices,
         peer_capnp::peer,
         server::network,
         since,
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     dragonflystep_dispatch::{
-        Ask, Ended, MonotonicTime, RunningRun, SpendingReport, UpstreamLoad, Verdict,
+        Ask, Ended, MonotonicTime, RunningRun, SpendingReport, UpstreamLoad, UpstreamNotice,
+        Verdict,
     },
     std::{
         cell::{Cell, RefCell},
@@ -162,6 +164,18 @@
         Ok(())
     }
 
+    /// Tells what upstreams said of themselves.
+    ///
+    /// # Errors
+    /// When the node can't be reached or the connection breaks.
+    pub async fn noticed(&self, notices: &[UpstreamNotice]) -> Result<(), PeerError> {
+        let client = self.client().await?;
+        let mut request = client.noticed_request();
+        encode_notices(notices, request.get().init_notices(notices.len() as u32));
+        self.heard(request.send().promise.await)?;
+        Ok(())
+    }
+
     /// Asks for a piece of what this node is missing of a list.
     ///
     /// # Errors
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -7,11 +7,14 @@
             decode_ask, decode_digest, decode_ended, decode_list_ask, decode_load, decode_running,
             decode_spending, encode_digest, encode_list_piece, encode_verdict,
         },
+        notice_codec::decode_notices,
         peer_capnp::peer,
     },
     capnp::capability::Promise,
     capnp_rpc::{RpcSystem, new_client, pry, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
-    dragonflystep_dispatch::{Ask, Ended, RunningRun, SpendingReport, UpstreamLoad, Verdict},
+    dragonflystep_dispatch::{
+        Ask, Ended, RunningRun, SpendingReport, UpstreamLoad, UpstreamNotice, Verdict,
+    },
     futures::io::{BufReader, BufWriter},
     std::{future::Future, pin::Pin, rc::Rc},
     tokio::io::{ReadHalf, WriteHalf, split},
@@ -38,6 +41,9 @@
     /// Tells what an upstream said of its load.
     fn load_observed(&self, load: UpstreamLoad);
 
+    /// Tells what upstreams said of themselves.
+    fn noticed(&self, notices: Vec<UpstreamNotice>);
+
     /// A piece of what a node is missing that has a version of a list.
     fn list_since(&self, ask: ListPieceAsk) -> ListPiece;
 
@@ -136,6 +142,18 @@
         Promise::ok(())
     }
 
+    fn noticed(
+        &mut self,
+        params: peer::NoticedParams,
+        _: peer::NoticedResults,
+    ) -> Promise<(), capnp::Error> {
+        let messages = pry!(pry!(params.get()).get_notices());
+        let notices = decode_notices(messages);
+        self.handler
+            .noticed(pry!(notices.map_err(|error| to_capnp(&error))));
+        Promise::ok(())
+    }
+
     fn list_since(
         &mut self,
         params: peer::ListSinceParams,
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -20,6 +20,12 @@
     files: Vec<PathBuf>,
 }
 
+/// Messages that tell what an upstream said of itself.
+const NOTICES: [&str; 2] = [
+    "upstream limits its rate",
+    "upstream no longer limits its rate",
+];
+
 /// Messages that tell a change of what a node believes.
 const BELIEFS: [&str; 5] = [
     "catalogue in force",
@@ -61,6 +67,15 @@
     line["time_ms"].as_u64().unwrap_or(0)
 }
 
+/// What a line tells a belief of; a later one of the same subject replaces it.
+fn belief_subject(line: &Value) -> Option<&str> {
+    let message = line["message"].as_str()?;
+    if NOTICES.contains(&message) {
+        return line["upstream"].as_str();
+    }
+    BELIEFS.contains(&message).then_some(message)
+}
+
 /// Lines of the request, and before them the last belief of each kind of the nodes that saw it.
 fn explain(request: &str, mut lines: Vec<Value>) -> Vec<Value> {
     lines.sort_by_key(time_ms);
@@ -75,11 +90,13 @@
         .collect();
     let mut beliefs: Vec<&Value> = Vec::new();
     for line in lines[..first].iter().rev() {
-        let message = line["message"].as_str().unwrap_or_default();
+        let Some(subject) = belief_subject(line) else {
+            continue;
+        };
         let is_known = beliefs
             .iter()
-            .any(|known| known["message"] == line["message"] && known["node"] == line["node"]);
-        if BELIEFS.contains(&message) && nodes.contains(&&line["node"]) && !is_known {
+            .any(|known| known["node"] == line["node"] && belief_subject(known) == Some(subject));
+        if nodes.contains(&&line["node"]) && !is_known {
             beliefs.push(line);
         }
     }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -50,3 +50,23 @@
     assert_eq!(code, Some(2));
     assert_eq!(told, "");
 }
+
+#[test]
+fn the_last_notice_of_each_upstream_comes_before_the_lines_of_a_request() {
+    let log = concat!(
+        r#"{"time_ms":1,"node":"a","message":"upstream limits its rate","upstream":"u1"}"#,
+        "\n",
+        r#"{"time_ms":2,"node":"a","message":"upstream limits its rate","upstream":"u2"}"#,
+        "\n",
+        r#"{"time_ms":3,"node":"a","message":"upstream no longer limits its rate","upstream":"u1"}"#,
+        "\n",
+        r#"{"time_ms":9,"node":"a","message":"request refused","request":"r1"}"#,
+        "\n",
+    );
+    let (code, told) = explain("r1", &[("a.log", log)]);
+    assert_eq!(code, Some(0));
+    let lines: Vec<&str> = told.lines().collect();
+    assert_eq!(lines.len(), 3, "{told}");
+    assert!(lines[0].contains("u2"), "{told}");
+    assert!(lines[1].contains("no longer"), "{told}");
+}
