--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -68,6 +68,10 @@
     pub load: Option<(u32, u32)>,
     /// Requests a second that the upstream takes from all nodes together.
     pub rate_limit_per_s: Stated<f64>,
+    /// Whether the upstream is about to leave.
+    pub is_leaving: Stated<bool>,
+    /// Time for which an upstream that refused the request wants none from this node.
+    pub rest: Stated<Duration>,
     /// How long the connection may stay unused.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/dragonflystep_edge/src/upstream_notices.rs
+++ b/crates/dragonflystep_edge/src/upstream_notices.rs
@@ -25,6 +25,7 @@
 impl Node {
     /// Applies what an answer says of its upstream; returns what the owner of the service has to be told.
     pub(crate) fn observe_notices(&self, answer: &ObservedAnswer<'_>) -> Vec<UpstreamNotice> {
+        self.log_departure_and_rest(answer);
         let notices: Vec<_> = self.read_notices(answer).collect();
         for notice in &notices {
             self.apply_notice(notice, "answer", answer.request_id);
@@ -57,8 +58,7 @@
                 Some((NoticeKind::RateLimited { requests_per_s }, Duration::ZERO))
             }
             Stated::Unreadable(text) => {
-                log::warn!(request = answer.request_id, upstream:% = answer.upstream, text:%; "upstream states a rate limit that is not understood; it is ignored");
-                self.metrics.count("upstream_notices_total", "unreadable");
+                self.note_unreadable(answer, "rate limit", text);
                 None
             }
             Stated::Absent => {
@@ -69,6 +69,32 @@
         }
     }
 
+    fn note_unreadable(&self, answer: &ObservedAnswer<'_>, statement: &'static str, text: &str) {
+        log::warn!(request = answer.request_id, upstream:% = answer.upstream, statement, text; "a statement of an upstream is not understood; it is ignored");
+        self.metrics.count("upstream_notices_total", "unreadable");
+    }
+
+    /// Logs and counts whether the upstream leaves or wants rest.
+    fn log_departure_and_rest(&self, answer: &ObservedAnswer<'_>) {
+        match &answer.facts.is_leaving {
+            Stated::Absent | Stated::Value(false) => {}
+            Stated::Unreadable(text) => self.note_unreadable(answer, "leaving", text),
+            Stated::Value(true) => {
+                log::info!(request = answer.request_id, upstream:% = answer.upstream; "upstream leaves");
+                self.metrics.count("upstream_notices_total", "leaving");
+            }
+        }
+        match &answer.facts.rest {
+            Stated::Absent => {}
+            Stated::Unreadable(text) => self.note_unreadable(answer, "rest", text),
+            Stated::Value(rest) => {
+                let rest_ms = rest.as_millis() as u64;
+                log::info!(request = answer.request_id, upstream:% = answer.upstream, rest_ms; "upstream wants rest");
+                self.metrics.count("upstream_notices_total", "rest");
+            }
+        }
+    }
+
     fn apply_notice(&self, notice: &UpstreamNotice, source: &str, request_id: &str) {
         let upstream = &notice.upstream;
         let before = self.owner.rate_limit(upstream);
