Send nothing more to an upstream whose answers say that it leaves

Cause: nobody read it (first hypothesis); the registry alone told who leaves, and the store was away.

Solution: leaving is a notice like a rate limit, so that it reaches the owner that gave the place, new owners before their first request, and all nodes. Its owner takes the upstream for draining, whatever the registry says, until it starts again as another upstream. An entry that knows it sends nothing there, also for a place that an owner gave which does not know it yet: the place goes back as withheld, costs no attempt, and the owner is told again. Answers at health paths are read for notices as well. A resumed stream no longer spends an attempt where nothing was sent, and asks for no more places than a first try.

--- a/crates/dragonflystep_dispatch/src/ask.rs
+++ b/crates/dragonflystep_dispatch/src/ask.rs
@@ -129,6 +129,8 @@
     Misdirected,
     /// No connection could be opened; nothing was sent.
     Unreachable,
+    /// The entry knew that the upstream wants no request; nothing was sent.
+    Withheld,
     /// The connection broke after the request was sent.
     Broken,
     /// The caller left or the time ran out; says nothing about the upstream.
@@ -138,7 +140,10 @@
 impl RunOutcome {
     /// Whether the request may have run, and so counts against quotas.
     pub fn has_run(self) -> bool {
-        !matches!(self, Self::Rejected | Self::Unreachable | Self::Misdirected)
+        !matches!(
+            self,
+            Self::Rejected | Self::Unreachable | Self::Misdirected | Self::Withheld
+        )
     }
 
     /// Its name in logs and metrics.
@@ -156,6 +161,7 @@
             Self::Rejected => "rejected",
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
+            Self::Withheld => "withheld",
             Self::Broken => "broken",
             Self::Cancelled => "cancelled",
         }
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -225,6 +225,11 @@
         self.notices.rate_limit(upstream)
     }
 
+    /// Whether an upstream said that it leaves.
+    pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
+        self.notices.is_leaving(upstream)
+    }
+
     /// Services that something is known of.
     pub fn service_count(&self) -> usize {
         self.pools.len()
@@ -312,6 +317,7 @@
                 | RunOutcome::Rejected
                 | RunOutcome::Misdirected
                 | RunOutcome::Unreachable
+                | RunOutcome::Withheld
                 | RunOutcome::Cancelled => {}
             }
             if !ended.outcome.has_run()
@@ -328,9 +334,8 @@
         if !self.notices.apply(now, notice) {
             return;
         }
-        let limit = self.notices.rate_limit(&notice.upstream);
         if let Some(pool) = self.pools.get_mut(&notice.service) {
-            pool.set_rate_limit(now, &notice.upstream, limit);
+            pool.keep_to_notices(now, &self.notices);
             pool.place_waiting(now, effects);
         }
     }
@@ -363,7 +368,7 @@
         for (name, pool) in &mut self.pools {
             pool.set_upstreams(now, by_service.remove(name).unwrap_or_default());
             pool.set_limits_share(now, self.share);
-            pool.keep_rate_limits(now, &self.notices);
+            pool.keep_to_notices(now, &self.notices);
         }
         // Entries of the registry may name any service; what they leave behind must not pile up.
         self.pools.retain(|_, pool| !pool.is_unused());
--- a/crates/dragonflystep_dispatch/src/notices.rs
+++ b/crates/dragonflystep_dispatch/src/notices.rs
@@ -1,8 +1,8 @@
 //! What upstreams say of themselves in their answers, and from when it is.
 //!
-//! The load it answers: an upstream in trouble names the rate that it takes from all nodes together. Any node may be the first
-//! to hear it, and any may own the services next, so each keeps what was said with its time: the later statement holds, in
-//! whatever order they arrive.
+//! The load it answers: an upstream in trouble names the rate that it takes from all nodes together; one that leaves says so
+//! long before the registry does. Any node may be the first to hear it, and any may own the services next, so each keeps what
+//! was said with its time: the later statement holds, in whatever order they arrive.
 
 use {
     crate::{
@@ -35,6 +35,8 @@
     },
     /// It names no rate limit any more.
     RateUnlimited,
+    /// It is about to leave and takes no new requests; this is never taken back.
+    Leaving,
 }
 
 /// What upstreams said of themselves, by upstream.
@@ -46,38 +48,47 @@
 #[derive(Debug)]
 struct Statements {
     service: ServiceName,
+    rate: Option<StatedRate>,
+    leaving_at: Option<MonotonicTime>,
+}
+
+#[derive(Debug)]
+struct StatedRate {
+    /// None once it names no limit any more.
     requests_per_s: Option<f64>,
-    stated_at: MonotonicTime,
+    at: MonotonicTime,
 }
 
 impl UpstreamNotices {
-    /// Applies a notice, unless a later one is known; says whether another limit holds now.
+    /// Applies a notice, unless a later one is known; says whether something else holds now.
     pub(crate) fn apply(&mut self, now: MonotonicTime, notice: &UpstreamNotice) -> bool {
-        let stated_at = now.saturating_sub(notice.age);
-        let requests_per_s = match notice.kind {
-            NoticeKind::RateLimited { requests_per_s } => Some(requests_per_s),
-            NoticeKind::RateUnlimited => None,
-        };
-        let Some(known) = self.upstreams.get_mut(&notice.upstream) else {
-            let statements = Statements {
+        let at = now.saturating_sub(notice.age);
+        let known = self
+            .upstreams
+            .entry(notice.upstream.clone())
+            .or_insert_with(|| Statements {
                 service: notice.service.clone(),
-                requests_per_s,
-                stated_at,
-            };
-            self.upstreams.insert(notice.upstream.clone(), statements);
-            return requests_per_s.is_some();
-        };
-        if stated_at < known.stated_at {
-            return false;
+                rate: None,
+                leaving_at: None,
+            });
+        match notice.kind {
+            NoticeKind::RateLimited { requests_per_s } => {
+                known.apply_rate(at, Some(requests_per_s))
+            }
+            NoticeKind::RateUnlimited => known.apply_rate(at, None),
+            NoticeKind::Leaving => known.leaving_at.replace(at).is_none(),
         }
-        known.stated_at = stated_at;
-        let before = std::mem::replace(&mut known.requests_per_s, requests_per_s);
-        before != requests_per_s
     }
 
     /// Requests a second that an upstream takes, if it named a limit.
     pub(crate) fn rate_limit(&self, upstream: &UpstreamId) -> Option<f64> {
-        self.upstreams.get(upstream)?.requests_per_s
+        self.upstreams.get(upstream)?.rate_limit()
+    }
+
+    /// Whether an upstream said that it leaves.
+    pub(crate) fn is_leaving(&self, upstream: &UpstreamId) -> bool {
+        let known = self.upstreams.get(upstream);
+        known.is_some_and(|known| known.leaving_at.is_some())
     }
 
     /// Forgets what was said long ago by upstreams that are not listed any more, or no longer holds.
@@ -89,8 +100,9 @@
         is_listed: impl Fn(&UpstreamId) -> bool,
     ) {
         self.upstreams.retain(|upstream, known| {
-            let holds = known.requests_per_s.is_some() && is_listed(upstream);
-            holds || now.saturating_sub(known.stated_at) < NOTICE_MEMORY
+            let holds = known.rate_limit().is_some() || known.leaving_at.is_some();
+            let is_recent = now.saturating_sub(known.last_at()) < NOTICE_MEMORY;
+            is_recent || (holds && is_listed(upstream))
         });
     }
 
@@ -99,7 +111,7 @@
         let mut notices: Vec<_> = self
             .upstreams
             .iter()
-            .map(|(upstream, known)| known.notice(now, upstream))
+            .flat_map(|(upstream, known)| known.notices(now, upstream))
             .collect();
         notices.sort_by_key(|notice| notice.age);
         notices.truncate(MAX_NOTICES_SHARED);
@@ -108,17 +120,41 @@
 }
 
 impl Statements {
-    fn notice(&self, now: MonotonicTime, upstream: &UpstreamId) -> UpstreamNotice {
-        let kind = self
-            .requests_per_s
-            .map_or(NoticeKind::RateUnlimited, |requests_per_s| {
-                NoticeKind::RateLimited { requests_per_s }
-            });
-        UpstreamNotice {
+    /// Applies a rate limit, or the end of one, unless a later one is known.
+    fn apply_rate(&mut self, at: MonotonicTime, requests_per_s: Option<f64>) -> bool {
+        if self.rate.as_ref().is_some_and(|known| at < known.at) {
+            return false;
+        }
+        let before = self.rate_limit();
+        self.rate = Some(StatedRate { requests_per_s, at });
+        before != requests_per_s
+    }
+
+    fn rate_limit(&self) -> Option<f64> {
+        self.rate.as_ref()?.requests_per_s
+    }
+
+    fn last_at(&self) -> MonotonicTime {
+        let rate_at = self.rate.as_ref().map(|rate| rate.at);
+        rate_at.max(self.leaving_at).unwrap_or_default()
+    }
+
+    fn notices(&self, now: MonotonicTime, upstream: &UpstreamId) -> Vec<UpstreamNotice> {
+        let notice = |kind, at| UpstreamNotice {
             service: self.service.clone(),
             upstream: upstream.clone(),
             kind,
-            age: now.saturating_sub(self.stated_at),
-        }
+            age: now.saturating_sub(at),
+        };
+        let rate = self.rate.as_ref().map(|rate| {
+            let kind = rate
+                .requests_per_s
+                .map_or(NoticeKind::RateUnlimited, |requests_per_s| {
+                    NoticeKind::RateLimited { requests_per_s }
+                });
+            notice(kind, rate.at)
+        });
+        let leaving = self.leaving_at.map(|at| notice(NoticeKind::Leaving, at));
+        rate.into_iter().chain(leaving).collect()
     }
 }
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -14,7 +14,7 @@
         ask::Ask,
         catalogue::Engine,
         dispatcher::Effect,
-        ids::{MonotonicTime, RunId, Tier, UpstreamId},
+        ids::{MonotonicTime, RunId, Tier},
         limits::{DEFAULT_CACHE_TOKENS, MOST_PASSED_OVER, UNORDERED_VERSION_HOLD},
         notices::UpstreamNotices,
         queue::{WaitQueue, Waiting},
@@ -95,26 +95,11 @@
         self.forget_replaced_rollout();
     }
 
-    /// Keeps to the rate limit that an upstream names, or to none any more.
-    pub(crate) fn set_rate_limit(
-        &mut self,
-        now: MonotonicTime,
-        upstream: &UpstreamId,
-        requests_per_s: Option<f64>,
-    ) {
-        let share = self.limits_share.unwrap_or(1.0);
-        let mut upstreams = self.upstreams.iter_mut();
-        if let Some(upstream) = upstreams.find(|one| one.entry.id == *upstream) {
-            upstream.set_rate_limit(now, requests_per_s, share);
-        }
-    }
-
-    /// Keeps to the rate limits that are known of upstreams which are new in the registry.
-    pub(crate) fn keep_rate_limits(&mut self, now: MonotonicTime, notices: &UpstreamNotices) {
+    /// Keeps to what upstreams said of themselves, whatever the registry says.
+    pub(crate) fn keep_to_notices(&mut self, now: MonotonicTime, notices: &UpstreamNotices) {
         let share = self.limits_share.unwrap_or(1.0);
         for upstream in &mut self.upstreams {
-            let limit = notices.rate_limit(&upstream.entry.id);
-            upstream.set_rate_limit(now, limit, share);
+            upstream.keep_to_notices(now, notices, share);
         }
     }
 
--- a/crates/dragonflystep_dispatch/src/rollout.rs
+++ b/crates/dragonflystep_dispatch/src/rollout.rs
@@ -420,6 +420,9 @@
         RunOutcome::Cancelled => {
             (log_ratio > evidence::SLOW_LOG_RATIO).then_some(Sample::Answered { log_ratio })
         }
-        RunOutcome::Rejected | RunOutcome::Misdirected | RunOutcome::Unreachable => None,
+        RunOutcome::Rejected
+        | RunOutcome::Misdirected
+        | RunOutcome::Unreachable
+        | RunOutcome::Withheld => None,
     }
 }
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -9,6 +9,7 @@
             DEFAULT_SLOTS, FAILURES_BEFORE_REST, FIRST_REST, FOREIGN_LOAD_MEMORY, FORGOTTEN_RUN,
             FULL_REST, LONGEST_REST, MEAN_WEIGHT,
         },
+        notices::UpstreamNotices,
         pacer::RequestPacer,
         speed::Speed,
     },
@@ -103,13 +104,17 @@
         }
     }
 
-    /// Keeps to a rate limit from now on, of which this owner may use a share, or to none.
-    pub(crate) fn set_rate_limit(
+    /// Keeps to what it said of itself; of its rate limit this owner may use a share.
+    pub(crate) fn keep_to_notices(
         &mut self,
         now: MonotonicTime,
-        requests_per_s: Option<f64>,
+        notices: &UpstreamNotices,
         share: f64,
     ) {
+        if notices.is_leaving(&self.entry.id) {
+            self.entry.phase = UpstreamPhase::Draining;
+        }
+        let requests_per_s = notices.rate_limit(&self.entry.id);
         self.pacer = match (self.pacer.take(), requests_per_s) {
             (_, None) => None,
             (None, Some(rate)) => Some(RequestPacer::new(now, rate, share)),
@@ -233,7 +238,7 @@
                 self.rests_until = self.rests_until.max(now + FULL_REST);
                 return;
             }
-            RunOutcome::Cancelled => return,
+            RunOutcome::Cancelled | RunOutcome::Withheld => return,
         };
         let sample = if failed { 1.0 } else { 0.0 };
         self.failure_rate += (sample - self.failure_rate) * MEAN_WEIGHT;
--- a/crates/dragonflystep_edge/src/attempts.rs
+++ b/crates/dragonflystep_edge/src/attempts.rs
@@ -51,6 +51,11 @@
         &self.avoid
     }
 
+    /// Takes the last attempt back, of which nothing was sent; its upstream is still avoided.
+    pub(crate) fn take_back(&mut self) {
+        self.sent -= 1;
+    }
+
     /// Notes that the request goes to an upstream.
     pub(crate) fn count_sent(&mut self, upstream: &UpstreamId) {
         self.sent += 1;
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -37,6 +37,7 @@
 /// Why a request was not sent to its upstream; it costs no attempt.
 const UNREACHABLE: &str = "unreachable";
 const UNCONFIRMED: &str = "unconfirmed";
+const WITHHELD: &str = "withheld";
 
 /// A request that is routed and read whole.
 pub(crate) struct Job {
@@ -71,6 +72,13 @@
     Unknown(&'static str),
 }
 
+impl Sent {
+    /// Whether nothing went to the upstream, which then costs no attempt.
+    pub(crate) fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotRun(UNREACHABLE | UNCONFIRMED | WITHHELD))
+    }
+}
+
 impl Job {
     /// Gets places and sends the request until there is an answer.
     pub(crate) async fn run(self: Rc<Self>) -> Response<AnswerBody> {
@@ -92,7 +100,7 @@
                     fallback = Some(response);
                 }
                 Sent::NotRun(reason) => {
-                    if attempts.places >= MOST_PLACES_ASKED || !self.may_send_again(&attempts) {
+                    if !self.may_send_again(&attempts) {
                         break self.gave_up(reason, &attempts, fallback);
                     }
                 }
@@ -120,7 +128,9 @@
 
     /// Whether time and attempts are left.
     pub(crate) fn may_send_again(&self, attempts: &Attempts) -> bool {
-        attempts.sent < self.route.max_attempts.max(1) && Instant::now() < self.deadline
+        attempts.sent < self.route.max_attempts.max(1)
+            && attempts.places < MOST_PLACES_ASKED
+            && Instant::now() < self.deadline
     }
 
     pub(crate) fn time_left(&self) -> Duration {
@@ -171,8 +181,8 @@
         } else {
             self.send_once(place, None).await
         };
-        if matches!(sent, Sent::NotRun(UNREACHABLE | UNCONFIRMED)) {
-            attempts.sent -= 1;
+        if sent.is_unsent() {
+            attempts.take_back();
         }
         sent
     }
@@ -188,6 +198,11 @@
             place.end(RunOutcome::Unreachable, RunFigures::default());
             return Sent::NotRun(UNCONFIRMED);
         }
+        if !place.is_wanted() {
+            log::info!(request:% = self.facts.request_id, upstream:% = place.grant.upstream; "upstream wants no request, as this node was told; its place is given back");
+            place.withhold();
+            return Sent::NotRun(WITHHELD);
+        }
         let request = self.upstream_request(&place.grant.upstream, resume_after.as_deref());
         let address = place.grant.address.clone();
         let last = self.time_left() + LATE_ANSWER_MARGIN;
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -273,7 +273,11 @@
     pub fn believes_ready(&self, id: &str) -> bool {
         let registry = self.views.registry();
         let mut upstreams = registry.upstreams.iter();
-        upstreams.any(|upstream| &*upstream.id == id && upstream.phase == UpstreamPhase::Ready)
+        upstreams.any(|upstream| {
+            &*upstream.id == id
+                && upstream.phase == UpstreamPhase::Ready
+                && !self.owner.is_leaving(&upstream.id)
+        })
     }
 
     /// Applies a changed settings file; addresses and names stay until a restart.
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -122,6 +122,11 @@
         self.dispatcher.borrow().rate_limit(upstream)
     }
 
+    /// Whether an upstream said that it leaves.
+    pub(crate) fn is_leaving(&self, upstream: &UpstreamId) -> bool {
+        self.dispatcher.borrow().is_leaving(upstream)
+    }
+
     /// Asks for a place and waits for the verdict; dropping the future withdraws the request.
     pub(crate) async fn ask(self: Rc<Self>, ask: Ask) -> Verdict {
         let (sender, receiver) = oneshot::channel();
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -148,6 +148,21 @@
         }
     }
 
+    /// Whether the upstream takes requests of this node, by what it said of itself.
+    pub(crate) fn is_wanted(&self) -> bool {
+        !self.node.owner.is_leaving(&self.grant.upstream)
+    }
+
+    /// Gives the place back unused, and tells the owner why.
+    pub(crate) fn withhold(self) {
+        if let Some(owner) = self.owner()
+            && let Some(link) = self.node.members.link(&owner)
+        {
+            spawn_local(tell_notices(link, self.node.owner.notices()));
+        }
+        self.end(RunOutcome::Withheld, RunFigures::default());
+    }
+
     /// Tells the owner that requests wait at the upstream.
     pub(crate) fn tell_load(&self, running: u32, waiting: u32) {
         let load = UpstreamLoad {
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -312,6 +312,9 @@
             sent = sending => sent,
             () = caller.pieces.closed() => return None,
         };
+        if sent.is_unsent() {
+            attempts.take_back();
+        }
         if let Sent::Streaming(relay) = sent {
             log::info!(request:% = job.facts.request_id, sent = attempts.sent; "a stream goes on at another upstream");
             return Some(*relay);
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -9,13 +9,14 @@
         limits::{UPSTREAM_HEALTH_HOLDS, UPSTREAM_HEALTH_TIMEOUT},
         node::Node,
         upstream_connections::SendError,
+        upstream_notices::ObservedAnswer,
     },
     bytes::Bytes,
     dragonflystep_dispatch::{Grant, MonotonicTime, ServiceName, UpstreamId},
     http::{HeaderValue, Request, header, uri::InvalidUri},
     http_body_util::{BodyExt, Full},
     std::{cell::RefCell, collections::HashMap, rc::Rc},
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout},
 };
 
 /// Why an upstream did not say whether it takes requests.
@@ -82,7 +83,11 @@
     {
         return takes_requests;
     }
-    let asked = timeout(UPSTREAM_HEALTH_TIMEOUT, ask_upstream(node, &path, grant)).await;
+    let asked = timeout(
+        UPSTREAM_HEALTH_TIMEOUT,
+        ask_upstream(node, service, &path, grant),
+    )
+    .await;
     let takes_requests = match asked {
         Ok(Ok(takes_requests)) => takes_requests,
         Ok(Err(error)) => {
@@ -108,16 +113,29 @@
     (!path.is_empty()).then(|| path.clone())
 }
 
-async fn ask_upstream(node: &Rc<Node>, path: &str, grant: &Grant) -> Result<bool, HealthError> {
+async fn ask_upstream(
+    node: &Rc<Node>,
+    service: &ServiceName,
+    path: &str,
+    grant: &Grant,
+) -> Result<bool, HealthError> {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse()?;
     if let Ok(host) = HeaderValue::from_str(&grant.address) {
         request.headers_mut().insert(header::HOST, host);
     }
+    let sent_at = Instant::now();
     let (response, connection) = node.connections.send(&grant.address, request).await?;
     let (head, body) = response.into_parts();
     body.collect().await?;
     let facts = node.dialect.read_answer(head.status, &head.headers);
+    node.observe_notices(&ObservedAnswer {
+        service,
+        upstream: &grant.upstream,
+        request_id: "",
+        facts: &facts,
+        sent_ago: sent_at.elapsed(),
+    });
     node.connections.keep(connection, facts.keep_alive);
     Ok(node
         .dialect
--- a/crates/dragonflystep_edge/src/upstream_notices.rs
+++ b/crates/dragonflystep_edge/src/upstream_notices.rs
@@ -25,7 +25,7 @@
 impl Node {
     /// Applies what an answer says of its upstream; returns what the owner of the service has to be told.
     pub(crate) fn observe_notices(&self, answer: &ObservedAnswer<'_>) -> Vec<UpstreamNotice> {
-        self.log_departure_and_rest(answer);
+        self.log_rest(answer);
         let notices: Vec<_> = self.read_notices(answer).collect();
         for notice in &notices {
             self.apply_notice(notice, "answer", answer.request_id);
@@ -41,13 +41,16 @@
     }
 
     fn read_notices(&self, answer: &ObservedAnswer<'_>) -> impl Iterator<Item = UpstreamNotice> {
-        let limit = self.read_rate_limit(answer);
-        limit.into_iter().map(|(kind, age)| UpstreamNotice {
-            service: answer.service.clone(),
-            upstream: answer.upstream.clone(),
-            kind,
-            age,
-        })
+        let statements = [self.read_rate_limit(answer), self.read_leaving(answer)];
+        statements
+            .into_iter()
+            .flatten()
+            .map(|(kind, age)| UpstreamNotice {
+                service: answer.service.clone(),
+                upstream: answer.upstream.clone(),
+                kind,
+                age,
+            })
     }
 
     fn read_rate_limit(&self, answer: &ObservedAnswer<'_>) -> Option<(NoticeKind, Duration)> {
@@ -74,16 +77,22 @@
         self.metrics.count("upstream_notices_total", "unreadable");
     }
 
-    /// Logs and counts whether the upstream leaves or wants rest.
-    fn log_departure_and_rest(&self, answer: &ObservedAnswer<'_>) {
+    fn read_leaving(&self, answer: &ObservedAnswer<'_>) -> Option<(NoticeKind, Duration)> {
         match &answer.facts.is_leaving {
-            Stated::Absent | Stated::Value(false) => {}
-            Stated::Unreadable(text) => self.note_unreadable(answer, "leaving", text),
             Stated::Value(true) => {
-                log::info!(request = answer.request_id, upstream:% = answer.upstream; "upstream leaves");
                 self.metrics.count("upstream_notices_total", "leaving");
+                Some((NoticeKind::Leaving, Duration::ZERO))
             }
+            Stated::Unreadable(text) => {
+                self.note_unreadable(answer, "leaving", text);
+                None
+            }
+            Stated::Absent | Stated::Value(false) => None,
         }
+    }
+
+    /// Logs and counts for how long the upstream wants rest.
+    fn log_rest(&self, answer: &ObservedAnswer<'_>) {
         match &answer.facts.rest {
             Stated::Absent => {}
             Stated::Unreadable(text) => self.note_unreadable(answer, "rest", text),
@@ -97,13 +106,14 @@
 
     fn apply_notice(&self, notice: &UpstreamNotice, source: &str, request_id: &str) {
         let upstream = &notice.upstream;
-        let before = self.owner.rate_limit(upstream);
+        let limit_before = self.owner.rate_limit(upstream);
+        let was_leaving = self.owner.is_leaving(upstream);
         self.owner.apply(Event::Noticed(notice.clone()));
-        let limit = self.owner.rate_limit(upstream);
-        if limit == before {
-            return;
+        if !was_leaving && self.owner.is_leaving(upstream) {
+            log::info!(request = request_id, upstream:%, source; "upstream leaves");
         }
-        match limit {
+        match self.owner.rate_limit(upstream) {
+            limit if limit == limit_before => {}
             Some(requests_per_s) => {
                 log::info!(request = request_id, upstream:%, requests_per_s, source; "upstream limits its rate");
             }
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -36,6 +36,7 @@
 
 enum RunOutcome {
   completed @0; failed @1; rejected @2; misdirected @3; unreachable @4; broken @5; cancelled @6;
+  withheld @7;
 }
 
 struct Ended {
@@ -62,6 +63,7 @@
     # Requests a second that it takes from all nodes together.
     requestsPerS @3 :Float64;
     rateUnlimited @4 :Void;
+    leaving @5 :Void;
   }
 }
 
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -166,6 +166,7 @@
         RunOutcome::Unreachable => peer_capnp::RunOutcome::Unreachable,
         RunOutcome::Broken => peer_capnp::RunOutcome::Broken,
         RunOutcome::Cancelled => peer_capnp::RunOutcome::Cancelled,
+        RunOutcome::Withheld => peer_capnp::RunOutcome::Withheld,
     }
 }
 
@@ -178,6 +179,7 @@
         peer_capnp::RunOutcome::Unreachable => RunOutcome::Unreachable,
         peer_capnp::RunOutcome::Broken => RunOutcome::Broken,
         peer_capnp::RunOutcome::Cancelled => RunOutcome::Cancelled,
+        peer_capnp::RunOutcome::Withheld => RunOutcome::Withheld,
     }
 }
 
--- a/crates/dragonflystep_peer/src/notice_codec.rs
+++ b/crates/dragonflystep_peer/src/notice_codec.rs
@@ -24,6 +24,7 @@
         match notice.kind {
             NoticeKind::RateLimited { requests_per_s } => slot.set_requests_per_s(requests_per_s),
             NoticeKind::RateUnlimited => slot.set_rate_unlimited(()),
+            NoticeKind::Leaving => slot.set_leaving(()),
         }
     }
 }
@@ -55,5 +56,6 @@
             is_rate.then_some(NoticeKind::RateLimited { requests_per_s })
         }
         Which::RateUnlimited(()) => Some(NoticeKind::RateUnlimited),
+        Which::Leaving(()) => Some(NoticeKind::Leaving),
     }
 }
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -20,10 +20,11 @@
     files: Vec<PathBuf>,
 }
 
-/// Messages that tell what an upstream said of itself.
-const NOTICES: [&str; 2] = [
-    "upstream limits its rate",
-    "upstream no longer limits its rate",
+/// Messages that tell what an upstream said of itself, and of what.
+const NOTICES: [(&str, &str); 3] = [
+    ("upstream limits its rate", "rate"),
+    ("upstream no longer limits its rate", "rate"),
+    ("upstream leaves", "leaving"),
 ];
 
 /// Messages that tell a change of what a node believes.
@@ -68,12 +69,12 @@
 }
 
 /// What a line tells a belief of; a later one of the same subject replaces it.
-fn belief_subject(line: &Value) -> Option<&str> {
+fn belief_subject(line: &Value) -> Option<(&str, &str)> {
     let message = line["message"].as_str()?;
-    if NOTICES.contains(&message) {
-        return line["upstream"].as_str();
+    if let Some((_, topic)) = NOTICES.iter().find(|(notice, _)| *notice == message) {
+        return Some((topic, line["upstream"].as_str()?));
     }
-    BELIEFS.contains(&message).then_some(message)
+    BELIEFS.contains(&message).then_some((message, ""))
 }
 
 /// Lines of the request, and before them the last belief of each kind of the nodes that saw it.
