Leave upstreams alone for as long as they want rest after a refusal

Cause: nobody read the time (first hypothesis); after a refusal an upstream rested 60 ms, whatever it asked for.

Solution: a rest is a notice with the start of the node that was refused. Kept: all nodes leave it alone, and after the rest one request shows whether it accepts again, at a cost that keeps it last among free ones. Where no other upstream is left, nodes that it has not refused try it one at a time, until it has refused two. The refused node never does: the owner passes it over for that node's requests, and the entry gives a place back that an owner gave which does not know. Who is refused because all rest is told when the first rest is over.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -5,7 +5,7 @@
         ask::{Ask, Ended, RefusalReason, RunOutcome, RunningRun, UpstreamLoad, Verdict},
         catalogue::Catalogue,
         crash_suspects::CrashSuspects,
-        ids::{MonotonicTime, RunId, ServiceName, UpstreamId},
+        ids::{MonotonicTime, NodeStart, RunId, ServiceName, UpstreamId},
         notices::{UpstreamNotice, UpstreamNotices},
         ownership::{Reach, member_share},
         pool::{PoolSummary, ServicePool},
@@ -230,6 +230,16 @@
         self.notices.is_leaving(upstream)
     }
 
+    /// Whether an upstream wants no requests of a node now.
+    pub fn is_resting_for(
+        &self,
+        now: MonotonicTime,
+        upstream: &UpstreamId,
+        node: NodeStart,
+    ) -> bool {
+        now < self.notices.rests_until(upstream, node)
+    }
+
     /// Services that something is known of.
     pub fn service_count(&self) -> usize {
         self.pools.len()
--- a/crates/dragonflystep_dispatch/src/ids.rs
+++ b/crates/dragonflystep_dispatch/src/ids.rs
@@ -37,3 +37,23 @@
 
 /// Digest of a request's account, path and content.
 pub type RequestFingerprint = u64;
+
+/// A start of a node, which each of its runs names.
+pub type NodeStart = u32;
+
+/// The start of the node that began a run.
+///
+/// # Examples
+/// ```
+/// use dragonflystep_dispatch::{node_start_of, run_id};
+///
+/// assert_eq!(node_start_of(run_id(7, 12)), 7);
+/// ```
+pub fn node_start_of(run: RunId) -> NodeStart {
+    (run >> 32) as NodeStart
+}
+
+/// The id of a run by its number at a start of a node.
+pub fn run_id(start: NodeStart, number: u32) -> RunId {
+    (RunId::from(start) << 32) | RunId::from(number)
+}
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 mod speed;
 mod spending;
 mod upstream;
+mod wanted_rest;
 
 pub use self::{
     ask::{
@@ -38,8 +39,9 @@
     },
     dispatcher::{Dispatcher, Effect, Event, SharedLimits},
     ids::{
-        AccountName, DataCentreName, MonotonicTime, NodeName, PartId, RequestFingerprint,
-        RouteName, RunId, ServiceName, Tier, UpstreamId, UpstreamVersion,
+        AccountName, DataCentreName, MonotonicTime, NodeName, NodeStart, PartId,
+        RequestFingerprint, RouteName, RunId, ServiceName, Tier, UpstreamId, UpstreamVersion,
+        node_start_of, run_id,
     },
     notices::{NoticeKind, UpstreamNotice},
     ownership::{Member, Reach, member_share, rank_owners},
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -139,6 +139,12 @@
 /// Time over which a limited rate may be made up for, in seconds; several looks at the queue.
 pub(crate) const PACED_BURST_S: f64 = 0.1;
 
+/// Nodes that an upstream has refused within their rest from which on it is taken to refuse all.
+pub(crate) const NODES_REFUSED_BY_ALL: usize = 2;
+
+/// Time after which the first request after a rest counts as accepted if its upstream has not refused it; several round trips.
+pub(crate) const REST_TRIAL: Duration = Duration::from_millis(250);
+
 /// Time for which it is remembered what an upstream said of itself that is not listed any more, or that no longer holds.
 pub(crate) const NOTICE_MEMORY: Duration = Duration::from_secs(60);
 
--- a/crates/dragonflystep_dispatch/src/notices.rs
+++ b/crates/dragonflystep_dispatch/src/notices.rs
@@ -1,12 +1,12 @@
 //! What upstreams say of themselves in their answers, and from when it is.
 //!
-//! The load it answers: an upstream in trouble names the rate that it takes from all nodes together; one that leaves says so
-//! long before the registry does. Any node may be the first to hear it, and any may own the services next, so each keeps what
+//! The load it answers: an upstream in trouble names the rate that it takes from all nodes together, or refuses requests and
+//! wants rest; one that leaves says so long before the registry does. Any node may be the first to hear it, and any may own the services next, so each keeps what
 //! was said with its time: the later statement holds, in whatever order they arrive.
 
 use {
     crate::{
-        ids::{MonotonicTime, ServiceName, UpstreamId},
+        ids::{MonotonicTime, NodeStart, ServiceName, UpstreamId},
         limits::{MAX_NOTICES_SHARED, NOTICE_MEMORY},
     },
     std::{collections::HashMap, time::Duration},
@@ -37,6 +37,13 @@
     RateUnlimited,
     /// It is about to leave and takes no new requests; this is never taken back.
     Leaving,
+    /// It refused a request and wants none from that node for a while.
+    Resting {
+        /// The start of the node that it refused.
+        node: NodeStart,
+        /// How long, from when it was said.
+        lasts: Duration,
+    },
 }
 
 /// What upstreams said of themselves, by upstream.
@@ -50,6 +57,19 @@
     service: ServiceName,
     rate: Option<StatedRate>,
     leaving_at: Option<MonotonicTime>,
+    rests: HashMap<NodeStart, Rest>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    at: MonotonicTime,
+    lasts: Duration,
+}
+
+impl Rest {
+    fn until(self) -> MonotonicTime {
+        self.at.saturating_add(self.lasts)
+    }
 }
 
 #[derive(Debug)]
@@ -70,6 +90,7 @@
                 service: notice.service.clone(),
                 rate: None,
                 leaving_at: None,
+                rests: HashMap::new(),
             });
         match notice.kind {
             NoticeKind::RateLimited { requests_per_s } => {
@@ -77,6 +98,7 @@
             }
             NoticeKind::RateUnlimited => known.apply_rate(at, None),
             NoticeKind::Leaving => known.leaving_at.replace(at).is_none(),
+            NoticeKind::Resting { node, lasts } => known.apply_rest(now, node, Rest { at, lasts }),
         }
     }
 
@@ -91,6 +113,25 @@
         known.is_some_and(|known| known.leaving_at.is_some())
     }
 
+    /// Until when an upstream wants no requests of which nodes.
+    pub(crate) fn rests(
+        &self,
+        upstream: &UpstreamId,
+    ) -> impl Iterator<Item = (NodeStart, MonotonicTime)> {
+        let known = self.upstreams.get(upstream).into_iter();
+        known
+            .flat_map(|known| &known.rests)
+            .map(|(node, rest)| (*node, rest.until()))
+    }
+
+    /// Until when an upstream wants no requests of a node.
+    pub(crate) fn rests_until(&self, upstream: &UpstreamId, node: NodeStart) -> MonotonicTime {
+        let mut rests = self.rests(upstream);
+        rests
+            .find(|(resting, _)| *resting == node)
+            .map_or(Duration::ZERO, |(_, until)| until)
+    }
+
     /// Forgets what was said long ago by upstreams that are not listed any more, or no longer holds.
     ///
     /// An entry may lapse and return while its upstream runs on.
@@ -130,13 +171,26 @@
         before != requests_per_s
     }
 
+    /// Applies a time of rest, unless a longer one is known; those that are over are forgotten.
+    fn apply_rest(&mut self, now: MonotonicTime, node: NodeStart, rest: Rest) -> bool {
+        self.rests.retain(|_, known| known.until() > now);
+        let known = self.rests.get(&node).map(|known| known.until());
+        if rest.until() <= known.unwrap_or(now) {
+            return false;
+        }
+        self.rests.insert(node, rest);
+        true
+    }
+
     fn rate_limit(&self) -> Option<f64> {
         self.rate.as_ref()?.requests_per_s
     }
 
     fn last_at(&self) -> MonotonicTime {
         let rate_at = self.rate.as_ref().map(|rate| rate.at);
-        rate_at.max(self.leaving_at).unwrap_or_default()
+        let rested_until = self.rests.values().map(|rest| rest.until()).max();
+        let last = rate_at.max(self.leaving_at).max(rested_until);
+        last.unwrap_or_default()
     }
 
     fn notices(&self, now: MonotonicTime, upstream: &UpstreamId) -> Vec<UpstreamNotice> {
@@ -155,6 +209,11 @@
             notice(kind, rate.at)
         });
         let leaving = self.leaving_at.map(|at| notice(NoticeKind::Leaving, at));
-        rate.into_iter().chain(leaving).collect()
+        let rests = self.rests.iter().filter(|(_, rest)| rest.until() > now);
+        let rests = rests.map(|(node, rest)| {
+            let (node, lasts) = (*node, rest.lasts);
+            notice(NoticeKind::Resting { node, lasts }, rest.at)
+        });
+        rate.into_iter().chain(leaving).chain(rests).collect()
     }
 }
--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         ask::Ask,
-        ids::MonotonicTime,
+        ids::{MonotonicTime, node_start_of},
         limits::{
             FAILURE_PENALTY_MS, FIRST_EVENT_BASE_MS, MINORITY_COST_SPREAD, OTHER_DATA_CENTRE_MS,
             PAUSE_HEADROOM, PREFILL_CHUNK_TOKENS, RUN_COST_SHARE,
@@ -59,7 +59,8 @@
     let mut best: Option<(usize, Prediction)> = None;
     for &index in free {
         let upstream = &upstreams[index];
-        if ask.avoid.contains(&upstream.entry.id) {
+        let is_refused = upstream.wanted_rest.is_for(now, node_start_of(ask.run));
+        if is_refused || ask.avoid.contains(&upstream.entry.id) {
             continue;
         }
         let prediction = predict(now, ask, objective_left, upstream, model);
@@ -92,6 +93,9 @@
         + run_ms * RUN_COST_SHARE
         + load * upstream.speed.ms_per_event
         + upstream.failure_rate * FAILURE_PENALTY_MS;
+    if upstream.wanted_rest.is_on_trial() {
+        prediction.cost_ms += FAILURE_PENALTY_MS;
+    }
     if upstream.entry.data_centre != ask.data_centre {
         prediction.cost_ms += OTHER_DATA_CENTRE_MS;
     }
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -141,7 +141,7 @@
         let run = ask.run;
         self.granted += 1;
         self.granted_at.insert(ask.tier, now);
-        self.upstreams[index].take_permit(now);
+        self.upstreams[index].note_sent(now);
         self.start_run(now, ask, index, prediction);
         Effect {
             run,
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -90,7 +90,7 @@
             .map(|one| one.effective_places(own_run_ms))
             .sum();
         if places == 0.0 {
-            return Duration::ZERO;
+            return self.shortest_rest(now);
         }
         // The next place comes free after a fraction of a run.
         let work_ms = self.queue.work_ahead_ms(now, tier, is_late) + own_run_ms;
@@ -98,6 +98,14 @@
         predicted_wait(work_ms, places, above)
     }
 
+    /// Time until the first upstream has rested as long as it wanted.
+    fn shortest_rest(&self, now: MonotonicTime) -> Duration {
+        let main = self.upstreams.iter().filter(|one| self.takes_main(one));
+        let ready = main.filter(|one| one.entry.phase == UpstreamPhase::Ready);
+        let over_at = ready.map(|one| one.wanted_rest.until()).min();
+        over_at.unwrap_or_default().saturating_sub(now)
+    }
+
     /// Time to the first event, and milliseconds of the whole run, at an upstream of the joint speed without other work.
     pub(super) fn joint_durations(&self, ask: &Ask, joint: Speed) -> (Duration, f64) {
         let Some(_) = ask.longest_pause else {
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -12,6 +12,7 @@
         notices::UpstreamNotices,
         pacer::RequestPacer,
         speed::Speed,
+        wanted_rest::WantedRest,
     },
     serde::{Deserialize, Serialize},
     std::{cmp::Reverse, collections::HashMap, time::Duration},
@@ -83,6 +84,7 @@
     rests_until: MonotonicTime,
     /// Keeps to the rate limit that it names.
     pacer: Option<RequestPacer>,
+    pub(crate) wanted_rest: WantedRest,
 }
 
 impl LiveUpstream {
@@ -101,6 +103,7 @@
             rest: FIRST_REST,
             rests_until: Duration::ZERO,
             pacer: None,
+            wanted_rest: WantedRest::default(),
         }
     }
 
@@ -114,6 +117,7 @@
         if notices.is_leaving(&self.entry.id) {
             self.entry.phase = UpstreamPhase::Draining;
         }
+        self.wanted_rest.set(notices.rests(&self.entry.id));
         let requests_per_s = notices.rate_limit(&self.entry.id);
         self.pacer = match (self.pacer.take(), requests_per_s) {
             (_, None) => None,
@@ -143,8 +147,9 @@
         pacer.is_none_or(|pacer| pacer.has_permit(now))
     }
 
-    /// Counts a request against its rate limit.
-    pub(crate) fn take_permit(&mut self, now: MonotonicTime) {
+    /// Counts a request against what it permits.
+    pub(crate) fn note_sent(&mut self, now: MonotonicTime) {
+        self.wanted_rest.note_sent(now);
         if let Some(pacer) = &mut self.pacer {
             pacer.take(now);
         }
@@ -176,12 +181,14 @@
 
     /// Whether it takes requests at all now.
     pub(crate) fn is_usable(&self, now: MonotonicTime) -> bool {
-        self.entry.phase == UpstreamPhase::Ready && now >= self.rests_until
+        self.entry.phase == UpstreamPhase::Ready
+            && now >= self.rests_until
+            && now >= self.wanted_rest.until()
     }
 
     /// Whether a request can start at once.
     pub(crate) fn has_room(&self, now: MonotonicTime) -> bool {
-        if !self.is_usable(now) || !self.has_permit(now) {
+        if !self.is_usable(now) || !self.has_permit(now) || !self.wanted_rest.has_room(now) {
             return false;
         }
         // After a rest one request at a time shows whether the upstream is back.
@@ -205,12 +212,15 @@
         self.foreign_until = now + FOREIGN_LOAD_MEMORY;
     }
 
-    /// Whether it could run a request although it rests for failures of its answers.
+    /// Whether it could run a request although it rests, for failures of its answers or because it refused another node.
     pub(crate) fn has_room_in_need(&self, now: MonotonicTime) -> bool {
-        self.entry.phase == UpstreamPhase::Ready
-            && self.has_permit(now)
-            && self.is_suspended()
-            && (self.runs.len() as u32) < self.slots()
+        if self.entry.phase != UpstreamPhase::Ready || !self.has_permit(now) {
+            return false;
+        }
+        let is_tried = self.wanted_rest.is_of_few(now) && self.runs.is_empty();
+        let is_resting = now < self.wanted_rest.until();
+        let has_place = (self.runs.len() as u32) < self.slots();
+        is_tried || (!is_resting && self.is_suspended() && has_place)
     }
 
     /// When the prompts that are here now will be read.
--- /dev/null
+++ b/crates/dragonflystep_dispatch/src/wanted_rest.rs
@@ -0,0 +1,77 @@
+//! The rest that an upstream wants which refused requests.
+//!
+//! The load it answers: an upstream that turns away whatever reaches it, from all nodes alike, for seconds. Each refusal is one for
+//! a caller whose request may not go elsewhere. So all nodes leave it alone as soon as it has refused one of them, and one
+//! request shows afterwards whether it accepts again. Where no other upstream is left, nodes that it has not refused try it,
+//! until it has refused a second one.
+
+use {
+    crate::{
+        ids::{MonotonicTime, NodeStart},
+        limits::{NODES_REFUSED_BY_ALL, REST_TRIAL},
+    },
+    std::time::Duration,
+};
+
+/// The rest that an upstream wants.
+#[derive(Debug, Default)]
+pub(crate) struct WantedRest {
+    /// Until when it wants no requests of which nodes.
+    nodes: Vec<(NodeStart, MonotonicTime)>,
+    until: MonotonicTime,
+    /// Whether it has to be shown after the rest that it accepts requests again.
+    is_on_trial: bool,
+    /// When the request was sent that shows it.
+    tried_at: Option<MonotonicTime>,
+}
+
+impl WantedRest {
+    /// Takes over until when it wants no requests of which nodes.
+    pub(crate) fn set(&mut self, nodes: impl Iterator<Item = (NodeStart, MonotonicTime)>) {
+        self.nodes.clear();
+        self.nodes.extend(nodes);
+        let until = self.nodes.iter().map(|(_, until)| *until).max();
+        let until = until.unwrap_or(Duration::ZERO);
+        if until > self.until {
+            self.until = until;
+            self.is_on_trial = true;
+            self.tried_at = None;
+        }
+    }
+
+    /// Until when it is left alone.
+    pub(crate) fn until(&self) -> MonotonicTime {
+        self.until
+    }
+
+    /// Whether it has not shown yet since its last rest that it accepts requests.
+    pub(crate) fn is_on_trial(&self) -> bool {
+        self.is_on_trial
+    }
+
+    /// Whether it wants no requests of a node.
+    pub(crate) fn is_for(&self, now: MonotonicTime, node: NodeStart) -> bool {
+        let mut nodes = self.nodes.iter();
+        nodes.any(|(resting, until)| *resting == node && now < *until)
+    }
+
+    /// Whether only few nodes know that it refuses them, so that others may try it.
+    pub(crate) fn is_of_few(&self, now: MonotonicTime) -> bool {
+        let refused = self.nodes.iter().filter(|(_, until)| now < *until);
+        now < self.until && refused.count() < NODES_REFUSED_BY_ALL
+    }
+
+    /// Whether a request may be sent as far as its rest is concerned.
+    pub(crate) fn has_room(&self, now: MonotonicTime) -> bool {
+        let is_accepted = |at: MonotonicTime| now.saturating_sub(at) >= REST_TRIAL;
+        now >= self.until && (!self.is_on_trial || self.tried_at.is_none_or(is_accepted))
+    }
+
+    /// Notes that a request is sent; the second one after a rest ends the trial.
+    pub(crate) fn note_sent(&mut self, now: MonotonicTime) {
+        if self.is_on_trial && now >= self.until {
+            self.is_on_trial = self.tried_at.is_none();
+            self.tried_at = Some(now);
+        }
+    }
+}
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -26,7 +26,7 @@
         views::Views,
     },
     dragonflystep_dispatch::{
-        Event, MonotonicTime, NodeName, Reach, RunId, Upstream, UpstreamPhase,
+        Event, MonotonicTime, NodeName, NodeStart, Reach, RunId, Upstream, UpstreamPhase, run_id,
     },
     dragonflystep_peer::PeerNetwork,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -323,7 +323,12 @@
     pub fn next_run(&self) -> RunId {
         let number = self.runs_started.get().wrapping_add(1);
         self.runs_started.set(number);
-        (self.incarnation << 32) | u64::from(number)
+        run_id(self.node_start(), number)
+    }
+
+    /// This start of the node, as its runs name it.
+    pub(crate) fn node_start(&self) -> NodeStart {
+        self.incarnation as NodeStart
     }
 
     /// The first `most` nodes in the order in which they own the services.
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -6,7 +6,7 @@
         rollouts::Rollouts,
     },
     dragonflystep_dispatch::{
-        Ask, Dispatcher, Effect, Ended, Event, Grant, MonotonicTime, PoolSummary, Reach,
+        Ask, Dispatcher, Effect, Ended, Event, Grant, MonotonicTime, NodeStart, PoolSummary, Reach,
         RefusalReason, RunId, RunOutcome, RunningRun, ServiceName, SharedLimits, UpstreamId,
         UpstreamNotice, Verdict,
     },
@@ -127,6 +127,12 @@
         self.dispatcher.borrow().is_leaving(upstream)
     }
 
+    /// Whether an upstream wants no requests of a node now.
+    pub(crate) fn is_resting_for(&self, upstream: &UpstreamId, node: NodeStart) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.is_resting_for(self.now(), upstream, node)
+    }
+
     /// Asks for a place and waits for the verdict; dropping the future withdraws the request.
     pub(crate) async fn ask(self: Rc<Self>, ask: Ask) -> Verdict {
         let (sender, receiver) = oneshot::channel();
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -150,7 +150,9 @@
 
     /// Whether the upstream takes requests of this node, by what it said of itself.
     pub(crate) fn is_wanted(&self) -> bool {
-        !self.node.owner.is_leaving(&self.grant.upstream)
+        let (node, upstream) = (&self.node, &self.grant.upstream);
+        let is_resting = node.owner.is_resting_for(upstream, node.node_start());
+        !is_resting && !node.owner.is_leaving(upstream)
     }
 
     /// Gives the place back unused, and tells the owner why.
--- a/crates/dragonflystep_edge/src/upstream_notices.rs
+++ b/crates/dragonflystep_edge/src/upstream_notices.rs
@@ -11,6 +11,9 @@
     std::time::Duration,
 };
 
+/// Source of what this node read itself.
+const OWN_ANSWER: &str = "answer";
+
 /// An answer of an upstream.
 pub(crate) struct ObservedAnswer<'a> {
     pub(crate) service: &'a ServiceName,
@@ -25,10 +28,9 @@
 impl Node {
     /// Applies what an answer says of its upstream; returns what the owner of the service has to be told.
     pub(crate) fn observe_notices(&self, answer: &ObservedAnswer<'_>) -> Vec<UpstreamNotice> {
-        self.log_rest(answer);
         let notices: Vec<_> = self.read_notices(answer).collect();
         for notice in &notices {
-            self.apply_notice(notice, "answer", answer.request_id);
+            self.apply_notice(notice, OWN_ANSWER, answer.request_id);
         }
         notices
     }
@@ -41,7 +43,11 @@
     }
 
     fn read_notices(&self, answer: &ObservedAnswer<'_>) -> impl Iterator<Item = UpstreamNotice> {
-        let statements = [self.read_rate_limit(answer), self.read_leaving(answer)];
+        let statements = [
+            self.read_rate_limit(answer),
+            self.read_leaving(answer),
+            self.read_rest(answer),
+        ];
         statements
             .into_iter()
             .flatten()
@@ -91,16 +97,18 @@
         }
     }
 
-    /// Logs and counts for how long the upstream wants rest.
-    fn log_rest(&self, answer: &ObservedAnswer<'_>) {
+    fn read_rest(&self, answer: &ObservedAnswer<'_>) -> Option<(NoticeKind, Duration)> {
         match &answer.facts.rest {
-            Stated::Absent => {}
-            Stated::Unreadable(text) => self.note_unreadable(answer, "rest", text),
-            Stated::Value(rest) => {
-                let rest_ms = rest.as_millis() as u64;
-                log::info!(request = answer.request_id, upstream:% = answer.upstream, rest_ms; "upstream wants rest");
+            Stated::Value(lasts) => {
                 self.metrics.count("upstream_notices_total", "rest");
+                let (node, lasts) = (self.node_start(), *lasts);
+                Some((NoticeKind::Resting { node, lasts }, Duration::ZERO))
             }
+            Stated::Unreadable(text) => {
+                self.note_unreadable(answer, "rest", text);
+                None
+            }
+            Stated::Absent => None,
         }
     }
 
@@ -109,6 +117,12 @@
         let limit_before = self.owner.rate_limit(upstream);
         let was_leaving = self.owner.is_leaving(upstream);
         self.owner.apply(Event::Noticed(notice.clone()));
+        if let NoticeKind::Resting { node, lasts } = notice.kind
+            && source == OWN_ANSWER
+        {
+            let rest_ms = lasts.as_millis() as u64;
+            log::info!(request = request_id, upstream:%, node_start = node, rest_ms; "upstream wants rest");
+        }
         if !was_leaving && self.owner.is_leaving(upstream) {
             log::info!(request = request_id, upstream:%, source; "upstream leaves");
         }
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -64,6 +64,8 @@
     requestsPerS @3 :Float64;
     rateUnlimited @4 :Void;
     leaving @5 :Void;
+    # It wants no requests of the node that it refused for `lastsUs` from then on.
+    resting :group { node @6 :UInt32; lastsUs @7 :UInt64; }
   }
 }
 
--- a/crates/dragonflystep_peer/src/notice_codec.rs
+++ b/crates/dragonflystep_peer/src/notice_codec.rs
@@ -25,6 +25,11 @@
             NoticeKind::RateLimited { requests_per_s } => slot.set_requests_per_s(requests_per_s),
             NoticeKind::RateUnlimited => slot.set_rate_unlimited(()),
             NoticeKind::Leaving => slot.set_leaving(()),
+            NoticeKind::Resting { node, lasts } => {
+                let mut resting = slot.init_resting();
+                resting.set_node(node);
+                resting.set_lasts_us(to_us(lasts));
+            }
         }
     }
 }
@@ -57,5 +62,9 @@
         }
         Which::RateUnlimited(()) => Some(NoticeKind::RateUnlimited),
         Which::Leaving(()) => Some(NoticeKind::Leaving),
+        Which::Resting(resting) => Some(NoticeKind::Resting {
+            node: resting.get_node(),
+            lasts: Duration::from_micros(resting.get_lasts_us()),
+        }),
     }
 }
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -21,10 +21,11 @@
 }
 
 /// Messages that tell what an upstream said of itself, and of what.
-const NOTICES: [(&str, &str); 3] = [
+const NOTICES: [(&str, &str); 4] = [
     ("upstream limits its rate", "rate"),
     ("upstream no longer limits its rate", "rate"),
     ("upstream leaves", "leaving"),
+    ("upstream wants rest", "rest"),
 ];
 
 /// Messages that tell a change of what a node believes.
