Take an entry that was removed for gone where the store was away for this node only

Cause: a node that neither the store nor another node answered for a while can't tell an upstream that left from one whose entry lapsed while the store was away. It kept each such entry as ready for 2.1 s and passed it on with the newest version. Ruled out earlier: lists that wait to be fetched whole.

Solution: nodes tell one another for how long the platform has been answering somebody without a longer gap. Where that is longer than any lapse takes, what is missing was removed: it is dropped at once, or as soon as the first other node answers. Where the store was away for all, nothing changes. In a system of up to 12 nodes, where each waits long at the store, the gap is seldom short enough and entries are kept as before.

--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         limits::{
-            EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, PAUSE_NOTICED, REACH_LOOK,
-            SMALL_SYSTEM_NODES,
+            EXCHANGE_INTERVAL, EXCHANGE_TIMEOUT, MOST_FAILED_RETRIED, PAUSE_NOTICED,
+            PLATFORM_UNHEARD, REACH_LOOK, SMALL_SYSTEM_NODES,
         },
         list_fetch::fetch_if_newer,
         node::Node,
@@ -113,6 +113,9 @@
             }
             // Counted from the call on: what is on the way does not grow younger from node to node.
             node.note_platform_heard(asked_at.saturating_sub(theirs.platform_heard));
+            if theirs.platform_heard <= PLATFORM_UNHEARD {
+                node.note_platform_up(asked_at.saturating_sub(theirs.platform_up));
+            }
             node.note_exchange();
             node.answered_by(&theirs, is_owner);
             // The age of what it knows is counted from the call on as well.
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -139,6 +139,10 @@
 /// a leaving upstream is known within 3 s when the platform refuses all that followed it a second before.
 pub(crate) const PLATFORM_UNHEARD: Duration = Duration::from_millis(2_600);
 
+/// The platform counts as having been there if somebody has heard it for this long without such a gap: longer than the silence
+/// after which entries lapse, with the time until they are written again.
+pub(crate) const PLATFORM_UP: Duration = Duration::from_secs(10);
+
 /// Followers then, as a multiple of the usual: one of them is nearly always served also where most nodes are refused.
 pub(crate) const UNHEARD_FOLLOWERS_FACTOR: usize = 3;
 
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -93,6 +93,8 @@
     platform_answered_at: Cell<MonotonicTime>,
     /// When the platform last answered this node or one of which it heard.
     platform_heard_at: Cell<MonotonicTime>,
+    /// Since when the platform has been answering somebody without a longer gap, as far as this node heard.
+    platform_up_since: Cell<MonotonicTime>,
     /// The node that was asked for a place last.
     last_owner: RefCell<Option<NodeName>>,
 }
@@ -136,6 +138,7 @@
             exchanged_at: Cell::new(Duration::ZERO),
             platform_answered_at: Cell::new(Duration::ZERO),
             platform_heard_at: Cell::new(Duration::ZERO),
+            platform_up_since: Cell::new(Duration::ZERO),
             last_owner: RefCell::default(),
             settings,
             dialect,
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -20,6 +20,7 @@
             is_leaving: self.stop.is_stopping(),
             members_version: self.members.list().announced_version(),
             platform_heard: self.platform_silence(),
+            platform_up: self.platform_up_for(),
             rollouts: self.encoded_rollouts(),
             ..Digest::default()
         }
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -8,7 +8,7 @@
     super::Node,
     crate::limits::{
         FOLLOWERS_KEY, HEARD_RECENTLY, OWNERS_KEY, PEERS_SILENT, PLATFORM_FOLLOWERS,
-        PLATFORM_UNHEARD, PREFERRED_OWNERS, SHORTEST_HEARING, SMALL_SYSTEM_NODES,
+        PLATFORM_UNHEARD, PLATFORM_UP, PREFERRED_OWNERS, SHORTEST_HEARING, SMALL_SYSTEM_NODES,
         UNHEARD_FOLLOWERS_FACTOR,
     },
     dragonflystep_dispatch::{MonotonicTime, NodeName, Reach},
@@ -75,8 +75,31 @@
 
     /// Notes that the platform answered somebody at a time.
     pub(crate) fn note_platform_heard(&self, at: MonotonicTime) {
-        self.platform_heard_at
-            .set(self.platform_heard_at.get().max(at));
+        let before = self.platform_heard_at.get();
+        if at.saturating_sub(before) > PLATFORM_UNHEARD {
+            self.platform_up_since.set(at);
+        }
+        self.platform_heard_at.set(before.max(at));
+    }
+
+    /// Notes that another node, which hears the platform now, has heard it without a longer gap since a time.
+    pub(crate) fn note_platform_up(&self, since: MonotonicTime) {
+        let known = self.platform_up_since.get();
+        self.platform_up_since.set(known.min(since));
+    }
+
+    /// Time for which the platform has been answering somebody without a longer gap, as far as this node heard.
+    pub(crate) fn platform_up_for(&self) -> Duration {
+        self.owner
+            .now()
+            .saturating_sub(self.platform_up_since.get())
+    }
+
+    /// Whether the platform was there for others all the while, though it may not have answered this node.
+    ///
+    /// What is missing there then was removed; it did not lapse because nobody could write it.
+    pub fn was_platform_up(&self) -> bool {
+        self.platform_silence() <= PLATFORM_UNHEARD && self.platform_up_for() >= PLATFORM_UP
     }
 
     /// Counts a call to the platform by its outcome; `has_answered` says whether the platform did what was asked.
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -96,6 +96,8 @@
   rollouts @10 :Data;
   # What upstreams said of themselves; only in answers, whose age the calling node can bound.
   notices @11 :List(UpstreamNotice);
+  # Time for which the platform has been answering this node, or one of which it heard, without a longer gap.
+  platformUpUs @12 :UInt64;
 }
 
 interface Peer {
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -85,6 +85,8 @@
     pub is_leaving: bool,
     /// Time since the platform answered it, or a node that told it so.
     pub platform_heard: Duration,
+    /// Time for which the platform has been answering somebody without a longer gap, as far as the node heard.
+    pub platform_up: Duration,
     /// Roll-outs that it knows of; empty when there are none.
     pub rollouts: Vec<u8>,
     /// What upstreams said of themselves; only in answers.
