Spawn nothing where an answer tells nothing, and let a rest count while it binds

Each answer spawned a task to tell the owner nothing. What was remembered of an upstream that is not listed any more counted a rest by its end, which may be far away; it counts by when it was said, and as long as it binds for those listed.

--- a/crates/dragonflystep_dispatch/src/notices.rs
+++ b/crates/dragonflystep_dispatch/src/notices.rs
@@ -1,8 +1,8 @@
 //! What upstreams say of themselves in their answers, and from when it is.
 //!
 //! The load it answers: an upstream in trouble names the rate that it takes from all nodes together, or refuses requests and
-//! wants rest; one that leaves says so long before the registry does. Any node may be the first to hear it, and any may own the services next, so each keeps what
-//! was said with its time: the later statement holds, in whatever order they arrive.
+//! wants rest; one that leaves says so long before the registry does. Any node may be the first to hear it, and any may own
+//! the services next, so each keeps what was said with its time: the later statement holds, in whatever order they arrive.
 
 use {
     crate::{
@@ -141,9 +141,8 @@
         is_listed: impl Fn(&UpstreamId) -> bool,
     ) {
         self.upstreams.retain(|upstream, known| {
-            let holds = known.rate_limit().is_some() || known.leaving_at.is_some();
             let is_recent = now.saturating_sub(known.last_at()) < NOTICE_MEMORY;
-            is_recent || (holds && is_listed(upstream))
+            is_recent || (known.holds(now) && is_listed(upstream))
         });
     }
 
@@ -186,10 +185,18 @@
         self.rate.as_ref()?.requests_per_s
     }
 
+    /// Whether anything of it still binds.
+    fn holds(&self, now: MonotonicTime) -> bool {
+        let mut rests = self.rests.values();
+        self.rate_limit().is_some()
+            || self.leaving_at.is_some()
+            || rests.any(|rest| rest.until() > now)
+    }
+
     fn last_at(&self) -> MonotonicTime {
         let rate_at = self.rate.as_ref().map(|rate| rate.at);
-        let rested_until = self.rests.values().map(|rest| rest.until()).max();
-        let last = rate_at.max(self.leaving_at).max(rested_until);
+        let rest_at = self.rests.values().map(|rest| rest.at).max();
+        let last = rate_at.max(self.leaving_at).max(rest_at);
         last.unwrap_or_default()
     }
 
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -140,10 +140,16 @@
             facts,
             sent_ago,
         });
-        let Some(owner) = self.owner() else {
+        self.tell_owner(notices);
+    }
+
+    /// Tells another owner that gave the place what upstreams said of themselves.
+    fn tell_owner(&self, notices: Vec<UpstreamNotice>) {
+        if notices.is_empty() {
             return;
-        };
-        if let Some(link) = self.node.members.link(&owner) {
+        }
+        let owner = self.owner();
+        if let Some(link) = owner.and_then(|owner| self.node.members.link(&owner)) {
             spawn_local(tell_notices(link, notices));
         }
     }
@@ -157,11 +163,7 @@
 
     /// Gives the place back unused, and tells the owner why.
     pub(crate) fn withhold(self) {
-        if let Some(owner) = self.owner()
-            && let Some(link) = self.node.members.link(&owner)
-        {
-            spawn_local(tell_notices(link, self.node.owner.notices()));
-        }
+        self.tell_owner(self.node.owner.notices());
         self.end(RunOutcome::Withheld, RunFigures::default());
     }
 
@@ -358,7 +360,10 @@
         return;
     }
     if let Some(report) = spending {
-        spawn_local(tell_notices(link.clone(), node.owner.notices()));
+        let notices = node.owner.notices();
+        if !notices.is_empty() {
+            spawn_local(tell_notices(link.clone(), notices));
+        }
         let link = link.clone();
         spawn_local(async move {
             if let Err(error) = link.spent(&report).await {
@@ -379,9 +384,6 @@
 
 /// Tells an owner what upstreams said of themselves.
 async fn tell_notices(link: Rc<PeerLink>, notices: Vec<UpstreamNotice>) {
-    if notices.is_empty() {
-        return;
-    }
     if let Err(error) = link.noticed(&notices).await {
         log::debug!(error:%; "an owner was not told what upstreams said of themselves");
     }
