--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod catalogue_list;
 mod connection_io;
 mod dialect;
+mod entry_runs;
 mod event_stream;
 mod exchange;
 mod head_check;
--- /dev/null
+++ b/crates/dragonflystep_edge/src/node/run.rs
@@ -0,0 +1,94 @@
+//! Putting a node's listeners and tasks to work, until it is told to stop.
+
+use {
+    super::{Node, NodeError},
+    crate::{
+        dialect::Dialect,
+        exchange::{exchange_views, watch_reach},
+        peer_service::serve_peers,
+        platform::Platform,
+        rollouts::publish_rollouts,
+        server::{Door, serve_door},
+        settings::NodeSettings,
+        stop::stop,
+    },
+    dragonflystep_peer::PeerNetwork,
+    std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        task::spawn_local,
+        time::{Instant, sleep},
+    },
+};
+
+/// Time between two looks at idle connections to upstreams.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Runs a node until `stop_requested` is ready and its requests have ended.
+///
+/// Must run inside a [`tokio::task::LocalSet`] on a current-thread runtime.
+///
+/// # Errors
+/// When an address can't be listened on, or signals can't be received.
+pub async fn run_node(
+    settings: NodeSettings,
+    dialect: Box<dyn Dialect>,
+    platform: Rc<dyn Platform>,
+    network: Rc<dyn PeerNetwork>,
+    stop_requested: impl Future<Output = Result<(), NodeError>>,
+) -> Result<(), NodeError> {
+    let node = Rc::new(Node::new(settings, dialect, network.clone()));
+    let started = Instant::now();
+    let addresses = &node.settings;
+    let ingress = listen(addresses.ingress, "callers").await?;
+    let readiness = listen(addresses.readiness, "readiness").await?;
+    let directory = listen(addresses.directory, "the directory").await?;
+    let peers = network.listen(addresses.peers).await;
+    let peers = peers.map_err(|source| listen_error(addresses.peers, "other nodes", source))?;
+    if let Some(address) = addresses.metrics {
+        let metrics = listen(address, "metrics").await?;
+        spawn_local(serve_door(node.clone(), metrics, Door::Metrics));
+    }
+    spawn_local(serve_door(node.clone(), ingress, Door::Ingress));
+    spawn_local(serve_door(node.clone(), readiness, Door::Readiness));
+    spawn_local(serve_door(node.clone(), directory, Door::Directory));
+    spawn_local(serve_peers(node.clone(), peers));
+    spawn_local(node.owner.clone().run());
+    spawn_local(node.owner.clone().log_beliefs());
+    spawn_local(exchange_views(node.clone()));
+    spawn_local(watch_reach(node.clone()));
+    spawn_local(keep_house(node.clone()));
+    spawn_local(publish_rollouts(node.clone(), platform.clone()));
+    spawn_local(platform.clone().follow(node.clone()));
+    log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation, is_first_start = node.settings.is_first_start; "node started");
+    stop_requested.await?;
+    stop(&node, platform).await;
+    log::info!(after_s = started.elapsed().as_secs(); "node stopped");
+    Ok(())
+}
+
+async fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, NodeError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| listen_error(address, purpose, source))
+}
+
+fn listen_error(address: SocketAddr, purpose: &'static str, source: io::Error) -> NodeError {
+    NodeError::Listen {
+        address,
+        purpose,
+        source,
+    }
+}
+
+async fn keep_house(node: Rc<Node>) {
+    loop {
+        sleep(HOUSEKEEPING_INTERVAL).await;
+        let registry = node.views.registry();
+        node.connections.retain(|address| {
+            registry
+                .upstreams
+                .iter()
+                .any(|upstream| upstream.address == address)
+        });
+    }
+}
--- a/crates/dragonflystep_edge/src/placing.rs
+++ b/crates/dragonflystep_edge/src/placing.rs
@@ -3,104 +3,24 @@
 use {
     crate::{
         dialect::AnswerFacts,
+        entry_runs::EntryRun,
         limits::{MOST_OWNERS_ASKED, OWNER_SIGN_TIMEOUT, OWNER_SILENCE},
         node::Node,
         owner::cancelled,
         upstream_notices::ObservedAnswer,
     },
     dragonflystep_dispatch::{
-        Ask, Ended, Event, Grant, MonotonicTime, NodeName, RunId, RunOutcome, RunningRun,
-        SpendingLedger, SpendingReport, UpstreamLoad, UpstreamNotice, Verdict,
+        Ask, Ended, Event, Grant, NodeName, RunId, RunOutcome, UpstreamLoad, UpstreamNotice,
+        Verdict,
     },
     dragonflystep_peer::{PeerError, PeerLink},
-    std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
     tokio::{
         task::spawn_local,
         time::{Instant, sleep},
     },
 };
 
-/// A run of this entry.
-struct EntryRun {
-    ask: Ask,
-    upstream: dragonflystep_dispatch::UpstreamId,
-    started_at: MonotonicTime,
-    /// The owner that counts it, with the connection over which it was reported.
-    owner: (NodeName, u64),
-}
-
-/// Runs of this entry and what accounts spent through it, to tell a new owner of them.
-pub(crate) struct EntryRuns {
-    runs: RefCell<HashMap<RunId, EntryRun>>,
-    spending: RefCell<SpendingLedger>,
-    /// The owner that the spending was reported to last, with the connection.
-    spending_reported_to: RefCell<Option<(NodeName, u64)>>,
-}
-
-impl EntryRuns {
-    pub(crate) fn new(quota_window: Duration, is_first_start: bool) -> Self {
-        Self {
-            runs: RefCell::default(),
-            spending: RefCell::new(SpendingLedger::new(quota_window, is_first_start)),
-            spending_reported_to: RefCell::default(),
-        }
-    }
-
-    /// What accounts spent through this entry, unless it was reported to `owner`.
-    fn spending_for(
-        &self,
-        now: MonotonicTime,
-        own: &NodeName,
-        owner: &(NodeName, u64),
-    ) -> Option<SpendingReport> {
-        let mut reported_to = self.spending_reported_to.borrow_mut();
-        if reported_to.as_ref() == Some(owner) {
-            return None;
-        }
-        *reported_to = Some(owner.clone());
-        let mut spending = self.spending.borrow_mut();
-        Some(spending.report(now, own.clone(), &owner.0))
-    }
-
-    /// Notes what the account of a run spent, or, with a factor below zero, takes it back.
-    fn note_spent(&self, now: MonotonicTime, run: &EntryRun, factor: f64) {
-        let Some(account) = &run.ask.account else {
-            return;
-        };
-        let units = factor * f64::from(run.ask.quota_units);
-        let mut spending = self.spending.borrow_mut();
-        spending.spent(now, account, &run.owner.0, units);
-    }
-
-    pub(crate) fn count(&self) -> usize {
-        self.runs.borrow().len()
-    }
-
-    /// Runs of `service` that another owner, or an earlier connection, counts; they are counted by
-    /// `owner` from now on.
-    fn move_to(
-        &self,
-        now: MonotonicTime,
-        service: &str,
-        owner: &(NodeName, u64),
-    ) -> Vec<RunningRun> {
-        let mut runs = self.runs.borrow_mut();
-        let moved = runs
-            .values_mut()
-            .filter(|run| &*run.ask.service == service && run.owner != *owner);
-        moved
-            .map(|run| {
-                run.owner = owner.clone();
-                RunningRun {
-                    ask: run.ask.clone(),
-                    upstream: run.upstream.clone(),
-                    running_for: now.saturating_sub(run.started_at),
-                }
-            })
-            .collect()
-    }
-}
-
 /// A place at an upstream that was given to a request, until its run's end is reported.
 ///
 /// Dropped before, it tells the owner that the run was cancelled.
