End a rate limit only with a signed success that names none

Cause: any answer without a limit to a later request ended it, also a failure, a refusal or an unsigned answer, whose sender may leave out what it states otherwise. Each such answer would let through as many requests as the upstream runs at once.

Testing: an_answer_that_is_no_success_ends_no_limit failed before (two places at once in 8 ms, where the limit is two a second). The test of a limit that ended was weak, since four places come in time under the limit as well; it now bounds the time.

--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -62,6 +62,8 @@
     pub is_not_run: bool,
     /// Whether another upstream has the address now.
     pub is_misdirected: bool,
+    /// Whether the upstream served the request.
+    pub is_success: bool,
     /// Whether the upstream signed the answer as its own.
     pub is_signed: bool,
     /// Requests that run and wait at the upstream, if it says so.
--- a/crates/dragonflystep_edge/src/upstream_notices.rs
+++ b/crates/dragonflystep_edge/src/upstream_notices.rs
@@ -72,6 +72,10 @@
             }
             Stated::Absent => {
                 self.owner.rate_limit(answer.upstream)?;
+                // Who spoils or refuses a request may leave out what it would state otherwise.
+                if !answer.facts.is_success || !answer.facts.is_signed {
+                    return None;
+                }
                 // The answer may have been made at any moment since the request was sent.
                 Some((NoticeKind::RateUnlimited, answer.sent_ago))
             }
