--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -162,8 +162,10 @@
             Event::Adopted(running) => {
                 let pool = self.pools.entry(running.ask.service.clone()).or_default();
                 pool.adopted(now, running);
-                self.overlaps_until = Some(now + OWNER_OVERLAP);
-                self.share_limits(now);
+                let until = now + OWNER_OVERLAP;
+                if self.overlaps_until.replace(until).is_none() {
+                    self.share_limits(now);
+                }
             }
             Event::SpendingReported(report) => self.quotas.apply_report(now, report),
             Event::NodesListed(nodes) => self.quotas.set_listed(now, nodes),
