--- a/crates/dragonflystep_dispatch/tests/support/rollout_player.rs
+++ b/crates/dragonflystep_dispatch/tests/support/rollout_player.rs
@@ -139,6 +139,20 @@
     pub misplaced: u64,
     /// What the decision rests on.
     pub reason: String,
+    /// The ends of all runs.
+    pub ends: Vec<RunSample>,
+}
+
+/// The end of a run, for other ways to judge a version.
+#[derive(Clone, Copy, Debug)]
+pub struct RunSample {
+    /// Seconds after the order.
+    pub at_s: f64,
+    pub route: usize,
+    pub is_new: bool,
+    pub has_failed: bool,
+    pub took_s: f64,
+    pub events: u32,
 }
 
 pub struct Player<'a> {
@@ -373,6 +387,14 @@
                 self.outcome.fiftieth_bad_at_s = Some(now - ORDERED_AT_S);
             }
         }
+        self.outcome.ends.push(RunSample {
+            at_s: now - ORDERED_AT_S,
+            route: flying.route,
+            is_new: flying.is_new,
+            has_failed: flying.will_fail,
+            took_s: now - flying.started_at_s,
+            events: flying.events,
+        });
         let is_stream = self.site.routes[flying.route].is_stream;
         let to_end = at(now - flying.started_at_s);
         let ended = Ended {
