--- a/crates/dragonflystep_dispatch/tests/rollout_windows.rs
+++ b/crates/dragonflystep_dispatch/tests/rollout_windows.rs
@@ -8,7 +8,7 @@
     dragonflystep_dispatch::RolloutPhase,
     std::ops::Range,
     support::rollout_player::{
-        Fault, GOOD, Outcome, Player, RunSample, Site, application, engines, failing, slow,
+        Fault, GOOD, Outcome, Player, RunSample, Site, application, engines, failing, seeds, slow,
     },
 };
 
@@ -22,14 +22,6 @@
 const TOLERATED_FAILURES: f64 = 0.1;
 const TOLERATED_SLOWDOWN: f64 = 1.5;
 
-fn seeds(usual: Range<u64>) -> Range<u64> {
-    let Ok(text) = std::env::var("DRAGONFLYSTEP_SEEDS") else {
-        return usual;
-    };
-    let (from, to) = text.split_once("..").expect("seeds as FROM..TO");
-    from.parse().expect("a seed")..to.parse().expect("a seed")
-}
-
 /// Share that failed, and mean time of the others; for streams the time of an event.
 fn rates(samples: &[RunSample]) -> (f64, f64) {
     let failed = samples.iter().filter(|sample| sample.has_failed).count();
--- a/crates/dragonflystep_dispatch/tests/rollouts.rs
+++ b/crates/dragonflystep_dispatch/tests/rollouts.rs
@@ -11,19 +11,11 @@
         SERVICE, limits,
         rollout_player::{
             Fault, GOOD, ORDER_LASTS_S, Outcome, Player, Site, application, at, engines, failing,
-            slow, versions,
+            seeds, slow, versions,
         },
     },
 };
 
-fn seeds(usual: Range<u64>) -> Range<u64> {
-    let Ok(text) = std::env::var("DRAGONFLYSTEP_SEEDS") else {
-        return usual;
-    };
-    let (from, to) = text.split_once("..").expect("seeds as FROM..TO");
-    from.parse().expect("a seed")..to.parse().expect("a seed")
-}
-
 /// Requests that a bad version may get.
 fn permitted(outcome: &Outcome) -> f64 {
     outcome.requests as f64 * limits().rollout.exposed_share + limits().rollout.exposed_slack
--- a/crates/dragonflystep_dispatch/tests/support/rollout_player.rs
+++ b/crates/dragonflystep_dispatch/tests/support/rollout_player.rs
@@ -9,6 +9,7 @@
     std::{
         cmp::Reverse,
         collections::{BinaryHeap, HashMap},
+        ops::Range,
         sync::Arc,
         time::Duration,
     },
@@ -169,6 +170,15 @@
     pub asked: HashMap<RunId, (usize, f64)>,
 }
 
+/// The seeds to play: those named by hand, or the usual ones.
+pub fn seeds(usual: Range<u64>) -> Range<u64> {
+    let Ok(text) = std::env::var("DRAGONFLYSTEP_SEEDS") else {
+        return usual;
+    };
+    let (from, to) = text.split_once("..").expect("seeds as FROM..TO");
+    from.parse().expect("a seed")..to.parse().expect("a seed")
+}
+
 pub fn at(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
