--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -210,6 +210,9 @@
 /// Factor of the durations below which a version is not slower.
 pub(crate) const ROLLOUT_SMALLEST_SLOWDOWN: f64 = 1.5;
 
+/// Durations below which two versions are not told apart, in milliseconds: no caller notices the difference.
+pub(crate) const ROLLOUT_LEAST_COMPARED_MS: f64 = 5.0;
+
 /// Standard deviations by which the durations have to differ, if they are known by the spread of single durations.
 pub(crate) const ROLLOUT_SLOWDOWN_DEVIATIONS: f64 = 4.5;
 
--- a/crates/dragonflystep_dispatch/src/rollout.rs
+++ b/crates/dragonflystep_dispatch/src/rollout.rs
@@ -17,8 +17,8 @@
         ask::RunOutcome,
         ids::{MonotonicTime, RouteName, ServiceName, UpstreamId, UpstreamVersion},
         limits::{
-            ROLLOUT_EXPOSURE_USE, ROLLOUT_JUDGE_INTERVAL, ROLLOUT_LONGEST_SWITCH, ROLLOUT_RECENT,
-            ROLLOUT_SETTLE_MARGIN, ROLLOUT_SLACK_USE,
+            ROLLOUT_EXPOSURE_USE, ROLLOUT_JUDGE_INTERVAL, ROLLOUT_LEAST_COMPARED_MS,
+            ROLLOUT_LONGEST_SWITCH, ROLLOUT_RECENT, ROLLOUT_SETTLE_MARGIN, ROLLOUT_SLACK_USE,
         },
     },
     std::time::Duration,
@@ -412,7 +412,8 @@
 
 /// What a run's end says of its version; nothing if it says nothing.
 pub(crate) fn sample_of(outcome: RunOutcome, took_ms: f64, expected_ms: f64) -> Option<Sample> {
-    let log_ratio = (took_ms.max(0.1) / expected_ms.max(0.1)).ln();
+    let compared_ms = |ms: f64| ms.max(ROLLOUT_LEAST_COMPARED_MS);
+    let log_ratio = (compared_ms(took_ms) / compared_ms(expected_ms)).ln();
     match outcome {
         RunOutcome::Completed => Some(Sample::Answered { log_ratio }),
         RunOutcome::Failed | RunOutcome::Broken => Some(Sample::Failed),
--- a/crates/dragonflystep_dispatch/tests/rollouts.rs
+++ b/crates/dragonflystep_dispatch/tests/rollouts.rs
@@ -76,6 +76,21 @@
     assert!(outcome.decided_at_s < ORDER_LASTS_S, "{outcome:?}");
 }
 
+#[test]
+fn a_version_whose_short_calls_take_a_few_milliseconds_longer_is_completed() {
+    let site = Site {
+        plain_ms: 1.0,
+        ..application()
+    };
+    check(
+        "calls of 1 ms, 2.7 times slower",
+        &site,
+        slow(1.0, 2.7),
+        RolloutPhase::Completed,
+        0..4,
+    );
+}
+
 #[test]
 fn a_version_that_fails_is_rolled_back() {
     for share in [1.0, 0.5, 0.2] {
