--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -146,8 +146,8 @@
 /// Time over which a limited rate may be made up for, in seconds; several looks at the queue.
 pub(crate) const PACED_BURST_S: f64 = 0.1;
 
-/// Nodes that an upstream has refused within their rest from which on it is taken to refuse all.
-pub(crate) const NODES_REFUSED_BY_ALL: usize = 2;
+/// Fewest nodes that an upstream has to refuse at a time to count as refusing all.
+pub(crate) const MIN_REFUSED_NODES: usize = 2;
 
 /// Time after which the first request after a rest counts as accepted if its upstream has not refused it; several round trips.
 pub(crate) const REST_TRIAL: Duration = Duration::from_millis(250);
--- a/crates/dragonflystep_dispatch/src/notices.rs
+++ b/crates/dragonflystep_dispatch/src/notices.rs
@@ -21,7 +21,8 @@
     pub upstream: UpstreamId,
     /// What it said.
     pub kind: NoticeKind,
-    /// Time since it was said; where that is not known, time since it can't have been said yet.
+    /// Time since it was said. For an answer that names no limit it is the time since the request was sent, the earliest moment
+    /// at which it can have been made.
     pub age: Duration,
 }
 
--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -59,7 +59,9 @@
     let mut best: Option<(usize, Prediction)> = None;
     for &index in free {
         let upstream = &upstreams[index];
-        let is_refused = upstream.wanted_rest.is_for(now, node_start_of(ask.run));
+        let is_refused = upstream
+            .wanted_rest
+            .is_wanted_from(now, node_start_of(ask.run));
         if is_refused || ask.avoid.contains(&upstream.entry.id) {
             continue;
         }
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -217,7 +217,7 @@
         if self.entry.phase != UpstreamPhase::Ready || !self.has_permit(now) {
             return false;
         }
-        let is_tried = self.wanted_rest.is_of_few(now) && self.runs.is_empty();
+        let is_tried = self.wanted_rest.may_be_tried(now) && self.runs.is_empty();
         let is_resting = now < self.wanted_rest.until();
         let has_place = (self.runs.len() as u32) < self.slots();
         is_tried || (!is_resting && self.is_suspended() && has_place)
--- a/crates/dragonflystep_dispatch/src/wanted_rest.rs
+++ b/crates/dragonflystep_dispatch/src/wanted_rest.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         ids::{MonotonicTime, NodeStart},
-        limits::{NODES_REFUSED_BY_ALL, REST_TRIAL},
+        limits::{MIN_REFUSED_NODES, REST_TRIAL},
     },
     std::time::Duration,
 };
@@ -50,15 +50,15 @@
     }
 
     /// Whether it wants no requests of a node.
-    pub(crate) fn is_for(&self, now: MonotonicTime, node: NodeStart) -> bool {
+    pub(crate) fn is_wanted_from(&self, now: MonotonicTime, node: NodeStart) -> bool {
         let mut nodes = self.nodes.iter();
         nodes.any(|(resting, until)| *resting == node && now < *until)
     }
 
-    /// Whether only few nodes know that it refuses them, so that others may try it.
-    pub(crate) fn is_of_few(&self, now: MonotonicTime) -> bool {
+    /// Whether nodes that it has not refused may try it: it has refused too few to count as refusing all.
+    pub(crate) fn may_be_tried(&self, now: MonotonicTime) -> bool {
         let refused = self.nodes.iter().filter(|(_, until)| now < *until);
-        now < self.until && refused.count() < NODES_REFUSED_BY_ALL
+        now < self.until && refused.count() < MIN_REFUSED_NODES
     }
 
     /// Whether a request may be sent as far as its rest is concerned.
