Tell for how long the platform has been up without a longer digest

Change: the time goes as 32 bits of milliseconds, which find room in a word that was there already.

Testing: tests/catalogue_lag.rs whole, removed_during_a_cut.rs.

--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -97,7 +97,8 @@
   # What upstreams said of themselves; only in answers, whose age the calling node can bound.
   notices @11 :List(UpstreamNotice);
   # Time for which the platform has been answering this node, or one of which it heard, without a longer gap.
-  platformUpUs @12 :UInt64;
+  # In milliseconds, which takes no more room in a message.
+  platformUpMs @12 :UInt32;
 }
 
 interface Peer {
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -311,7 +311,7 @@
     }
     out.set_is_leaving(digest.is_leaving);
     out.set_platform_heard_us(to_us(digest.platform_heard));
-    out.set_platform_up_us(to_us(digest.platform_up));
+    out.set_platform_up_ms(u32::try_from(digest.platform_up.as_millis()).unwrap_or(u32::MAX));
     out.set_members_version(digest.members_version);
     out.set_members(&digest.members);
     out.set_rollouts(&digest.rollouts);
@@ -328,7 +328,7 @@
         unavailable: decode_texts(input.get_unavailable()?)?,
         is_leaving: input.get_is_leaving(),
         platform_heard: Duration::from_micros(input.get_platform_heard_us()),
-        platform_up: Duration::from_micros(input.get_platform_up_us()),
+        platform_up: Duration::from_millis(input.get_platform_up_ms().into()),
         members_version: input.get_members_version(),
         members: input.get_members()?.to_vec(),
         rollouts: input.get_rollouts()?.to_vec(),
