Refund the quota units of requests that are refused after waiting

Cause: a request takes its units when it arrives. If it waits in the queue until it expires, it is refused and never runs, but its units were not put back, so that an account in an overload was refused for quota that it had not used. A refusal at once and a withdrawal did put them back.

The new test fails without the change (the fourth request: quota_exceeded, retry after 900 ms).

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -235,9 +235,21 @@
                 self.place_all_waiting(now, &mut effects);
             }
         }
+        self.refund_refused_waiting();
         effects
     }
 
+    /// Refunds the quota units of requests that were refused after waiting, since they did not run.
+    fn refund_refused_waiting(&mut self) {
+        for pool in self.pools.values_mut() {
+            for request in pool.take_refused_waiting() {
+                if let Some(account) = &request.account {
+                    self.quotas.refund(account, f64::from(request.quota_units));
+                }
+            }
+        }
+    }
+
     /// Returns the upstreams' notices that other nodes have to know, the latest first.
     pub fn notices(&self, now: MonotonicTime) -> Vec<UpstreamNotice> {
         self.notices.to_share(now)
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -50,6 +50,8 @@
     granted_at: BTreeMap<Tier, MonotonicTime>,
     rollout: Option<Rollout>,
     rollout_rules: RolloutRules,
+    /// Requests that were refused after waiting and whose quota units were not refunded yet.
+    refused_waiting: Vec<SlotRequest>,
 }
 
 impl ServicePool {
@@ -196,6 +198,11 @@
         }
     }
 
+    /// Returns the requests that were refused after waiting since the last call. They did not run.
+    pub(crate) fn take_refused_waiting(&mut self) -> Vec<SlotRequest> {
+        std::mem::take(&mut self.refused_waiting)
+    }
+
     /// Removes a request from the queue because its entry node no longer waits for a slot.
     pub(crate) fn withdraw(&mut self, run: RunId) -> Option<SlotRequest> {
         self.queue.remove(run).map(|queued| queued.request)
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -32,6 +32,7 @@
                 run: queued.request.run,
                 decision: SlotDecision::Refused(refuse(self.refusal_reason(), wait)),
             });
+            self.refused_waiting.push(queued.request);
         }
         for upstream in &mut self.upstreams {
             upstream.forget_old_runs(now);
--- a/crates/dragonflystep_dispatch/tests/quotas.rs
+++ b/crates/dragonflystep_dispatch/tests/quotas.rs
@@ -12,7 +12,7 @@
     std::{sync::Arc, time::Duration},
     support::{
         accounts::catalogue_with_quota,
-        dispatcher, plain_request,
+        dispatcher, limits, plain_request,
         slot_requests::{START, request_slot, run_ended},
     },
 };
@@ -209,3 +209,46 @@
         );
     }
 }
+
+#[test]
+fn a_request_that_is_refused_after_waiting_gives_its_units_back() {
+    let mut owner = dispatcher(1, 1);
+    let mut limits = limits();
+    limits.quota.tolerated_share = 0.0;
+    limits.quota.tolerated_units = 0.0;
+    owner.reduce(Duration::ZERO, Event::LimitsChanged(limits));
+    let catalogue = catalogue_with_quota(1_000.0, 10_000.0);
+    owner.reduce(Duration::ZERO, Event::CatalogueChanged(Arc::new(catalogue)));
+    let request = |run: u64| SlotRequest {
+        time_left: Duration::from_secs(2),
+        account: Some("mill".into()),
+        quota_units: 4_000,
+        ..plain_request(run, 0)
+    };
+    let mut owner_accepts = |run: u64, at: Duration| {
+        let effects = owner.reduce(at, Event::SlotRequested(request(run)));
+        let decision = effects.iter().find(|effect| effect.run == run);
+        !matches!(
+            decision.map(|effect| &effect.decision),
+            Some(SlotDecision::Refused(refusal)) if refusal.reason == RefusalReason::QuotaExceeded
+        )
+    };
+    // The account begins with an empty bucket, which is full at `START`.
+    assert!(!owner_accepts(100, Duration::ZERO));
+    assert!(owner_accepts(1, START), "it runs");
+    assert!(
+        owner_accepts(2, START),
+        "it waits, and uses the rest of the burst"
+    );
+    assert!(!owner_accepts(3, START), "the quota is used up");
+    let expired = START + Duration::from_millis(1_100);
+    owner.reduce(expired, Event::Ticked);
+    let effects = owner.reduce(expired, Event::SlotRequested(request(4)));
+    assert!(
+        !effects.iter().any(|effect| matches!(
+            &effect.decision,
+            SlotDecision::Refused(refusal) if refusal.reason == RefusalReason::QuotaExceeded
+        )),
+        "the units of the request that waited in vain are available: {effects:?}"
+    );
+}
