Keep the latest time at which an upstream announced that it leaves

Cause: a notice of leaving that arrives late replaced the time of a later one, so that the notice seemed older than it is and could be forgotten while the upstream was still listed.

The new test fails without the change: the age is 5 s in place of 1 s.

--- a/crates/dragonflystep_dispatch/src/notices.rs
+++ b/crates/dragonflystep_dispatch/src/notices.rs
@@ -103,7 +103,11 @@
                 known.apply_rate(at, Some(requests_per_s))
             }
             NoticeKind::RateUnlimited => known.apply_rate(at, None),
-            NoticeKind::Leaving => known.leaving_at.replace(at).is_none(),
+            NoticeKind::Leaving => {
+                let was_known = known.leaving_at.is_some();
+                known.leaving_at = known.leaving_at.max(Some(at));
+                !was_known
+            }
             NoticeKind::BackOff { node, duration } => {
                 known.apply_back_off(now, node, BackOffPeriod { at, duration })
             }
--- a/crates/dragonflystep_dispatch/tests/leaving_upstreams.rs
+++ b/crates/dragonflystep_dispatch/tests/leaving_upstreams.rs
@@ -93,3 +93,12 @@
     }
     granted_upstream(request_slot(&mut owner, START, plain_request(13, 0)));
 }
+
+#[test]
+fn an_older_notice_that_arrives_late_does_not_move_the_time_of_leaving_back() {
+    let s = Duration::from_secs;
+    let mut owner = dispatcher(2, 4);
+    owner.reduce(START, leaving(s(1)));
+    owner.reduce(START, leaving(s(5)));
+    assert_eq!(owner.notices(START)[0].age, s(1));
+}
