--- a/benches/benches/placing.rs
+++ b/benches/benches/placing.rs
@@ -7,7 +7,7 @@
     criterion::{BenchmarkId, Criterion},
     dragonflystep_dispatch::{
         Dispatcher, Event, QuotaRules, RolloutRules, RunId, RunOutcome, RunReport, SharedLimits,
-        SlotDecision, SlotRequest, Upstream, UpstreamPhase, WorkSize,
+        SlotDecision, SlotRequest, Upstream, UpstreamPhase, WarmUpRules, WorkSize,
     },
     std::{
         collections::VecDeque,
@@ -41,6 +41,7 @@
             exposed_share: 0.1,
             exposed_slack: 50.0,
         },
+        warm_up: WarmUpRules::default(),
     }
 }
 
@@ -76,6 +77,7 @@
         excluded_upstreams: Vec::new(),
         fingerprint: run,
         data_centre: "a".into(),
+        allowed_data_centres: None,
     }
 }
 
--- a/crates/dragonflystep_dispatch/src/catalogue.rs
+++ b/crates/dragonflystep_dispatch/src/catalogue.rs
@@ -1,7 +1,7 @@
 //! The catalogue: routes, services, accounts and limits that operators configure.
 
 use {
-    crate::ids::{AccountName, RouteName, ServiceName},
+    crate::ids::{AccountName, RegionName, RouteName, ServiceName},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -44,6 +44,9 @@
     pub max_attempts: u32,
     /// Whether requests are accepted without a key.
     pub is_anonymous: bool,
+    /// Regions in which the requests may be processed; empty if they may be processed anywhere.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// Whether a route's requests may be repeated, and whether they are answered with streams.
@@ -83,6 +86,19 @@
     pub health_path: String,
     /// Properties of the service's engines; absent for a plain service.
     pub engine: Option<Engine>,
+    /// How upstreams warm up after a start; absent if they need not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up: Option<WarmUp>,
+}
+
+/// How the upstreams of a service warm up. An upstream that has just started, or that lost its caches, breaks under a
+/// load that it bears later.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// How long an upstream stays cold.
+    pub duration: Duration,
+    /// Requests per second from all nodes together that a cold upstream bears.
+    pub requests_per_s: f64,
 }
 
 /// Properties of the inference engines of a service.
@@ -108,6 +124,9 @@
     pub tier: Option<u8>,
     /// Quota of the account; absent if it is not limited.
     pub quota: Option<AccountQuota>,
+    /// Regions in which the account's requests may be processed; empty if they may be processed anywhere.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// The rate and burst that an account may use over all nodes.
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -4,7 +4,7 @@
     crate::{
         catalogue::Catalogue,
         crash_suspects::CrashSuspects,
-        ids::{MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
+        ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
         limits::{OVERLAP_RATE_SHARE, OWNER_OVERLAP},
         messages::{
             ActiveRun, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest,
@@ -19,9 +19,10 @@
         rollout::{RolloutOrder, RolloutPhase, RolloutRules, RolloutStep},
         upstream::Upstream,
         usage::UsageReport,
+        warm_up::WarmUpRules,
     },
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         sync::Arc,
         time::Duration,
     },
@@ -40,6 +41,8 @@
     pub quota: QuotaRules,
     /// How many requests an unproven new version may get.
     pub rollout: RolloutRules,
+    /// How many requests a cold upstream may get.
+    pub warm_up: WarmUpRules,
 }
 
 impl SharedLimits {
@@ -74,6 +77,8 @@
     CatalogueChanged(Arc<Catalogue>),
     /// The registry of upstreams changed; contains all of its entries.
     UpstreamsChanged(Vec<Upstream>),
+    /// The operator's evacuations changed; contains all data centres whose upstreams get no requests.
+    EvacuationsChanged(BTreeSet<DataCentreName>),
     /// The number of nodes that this node sees changed.
     VisibilityChanged(Visibility),
     /// The number of nodes that recently called this one, or answered its calls, changed.
@@ -105,7 +110,9 @@
 ///
 /// # Examples
 /// ```
-/// use dragonflystep_dispatch::{Dispatcher, Event, QuotaRules, RolloutRules, SharedLimits};
+/// use dragonflystep_dispatch::{
+///     Dispatcher, Event, QuotaRules, RolloutRules, SharedLimits, WarmUpRules,
+/// };
 /// use std::time::Duration;
 ///
 /// let quota = QuotaRules {
@@ -114,7 +121,9 @@
 ///     tolerated_units: 0.0,
 /// };
 /// let rollout = RolloutRules { exposed_share: 0.1, exposed_slack: 50.0 };
-/// let limits = SharedLimits { retry_ratio: 0.2, retry_slack: 50.0, retry_window_s: 10, quota, rollout };
+/// let warm_up = WarmUpRules { tolerated_ratio: 1.5, tolerated_requests: 5.0 };
+/// let limits =
+///     SharedLimits { retry_ratio: 0.2, retry_slack: 50.0, retry_window_s: 10, quota, rollout, warm_up };
 /// let mut dispatcher = Dispatcher::new(limits);
 /// assert!(dispatcher.reduce(Duration::from_secs(1), Event::Ticked).is_empty());
 /// ```
@@ -129,6 +138,9 @@
     quotas: Quotas,
     crash_suspects: CrashSuspects,
     rollout_rules: RolloutRules,
+    warm_up_rules: WarmUpRules,
+    /// Data centres whose upstreams get no requests.
+    evacuated: BTreeSet<DataCentreName>,
     rollout_steps: Vec<RolloutStep>,
     notices: UpstreamNotices,
     /// Time until which another owner may be granting slots too; absent when no overlap is known.
@@ -146,6 +158,8 @@
             quotas: Quotas::new(limits.quota),
             crash_suspects: CrashSuspects::default(),
             rollout_rules: limits.rollout,
+            warm_up_rules: limits.warm_up,
+            evacuated: BTreeSet::new(),
             rollout_steps: Vec::new(),
             notices: UpstreamNotices::default(),
             overlap_ends_at: None,
@@ -181,12 +195,24 @@
                 self.retry_limits = limits.retries();
                 self.quotas.set_rules(limits.quota);
                 self.rollout_rules = limits.rollout;
+                self.warm_up_rules = limits.warm_up;
+                for pool in self.pools.values_mut() {
+                    pool.set_warm_up_rules(now, limits.warm_up);
+                }
             }
-            Event::CatalogueChanged(catalogue) => self.set_catalogue(&catalogue),
+            Event::CatalogueChanged(catalogue) => self.set_catalogue(now, &catalogue),
             Event::UpstreamsChanged(upstreams) => {
                 self.set_upstreams(now, upstreams);
                 self.place_all_waiting(now, &mut effects);
             }
+            Event::EvacuationsChanged(evacuated) => {
+                self.evacuated = evacuated;
+                for pool in self.pools.values_mut() {
+                    pool.set_evacuated(now, &self.evacuated);
+                    pool.refuse_unservable(now, &mut effects);
+                }
+                self.place_all_waiting(now, &mut effects);
+            }
             Event::VisibilityChanged(visibility) => {
                 self.limit_share = partition_limit_share(visibility.visible, visibility.known);
                 let slots = (!visibility.is_majority()).then(|| visibility.fraction());
@@ -197,6 +223,7 @@
             }
             Event::RecentContactsChanged(contacts) => {
                 self.quota_share = partition_limit_share(contacts.visible, contacts.known);
+                self.apply_rate_limit_share(now);
             }
             Event::LoadObserved(load) => {
                 if let Some(pool) = self.pools.get_mut(&load.service) {
@@ -229,6 +256,7 @@
                     self.apply_rate_limit_share(now);
                 }
                 for pool in self.pools.values_mut() {
+                    pool.end_warm_ups(now);
                     self.rollout_steps.extend(pool.advance_rollout(now));
                     pool.expire_waiting(now, &mut effects);
                 }
@@ -265,6 +293,12 @@
         self.notices.is_leaving(upstream)
     }
 
+    /// Whether an upstream stated that it is cold, and that time is not over.
+    pub fn is_stated_cold(&self, now: MonotonicTime, upstream: &UpstreamId) -> bool {
+        let stated = self.notices.warm_up(upstream);
+        stated.is_some_and(|warm_up| now < warm_up.until)
+    }
+
     /// Whether an upstream asked a node to send no requests for now.
     pub fn is_backed_off(
         &self,
@@ -407,9 +441,12 @@
     }
 
     /// Returns the share of the upstreams' rate limits that this owner may use.
+    ///
+    /// A node that most nodes have not called recently decides only for itself, even if it sees most of them. Many such
+    /// nodes would otherwise each use the whole rate of an upstream.
     fn rate_limit_share(&self) -> f64 {
         let overlap = self.overlap_ends_at.map_or(1.0, |_| OVERLAP_RATE_SHARE);
-        self.limit_share * overlap
+        self.limit_share.min(self.quota_share) * overlap
     }
 
     fn apply_rate_limit_share(&mut self, now: MonotonicTime) {
@@ -419,10 +456,12 @@
         }
     }
 
-    fn set_catalogue(&mut self, catalogue: &Catalogue) {
+    fn set_catalogue(&mut self, now: MonotonicTime, catalogue: &Catalogue) {
         for service in &catalogue.services {
             let pool = self.pools.entry(service.name.clone()).or_default();
             pool.set_engine(service.engine);
+            pool.set_warm_up_rules(now, self.warm_up_rules);
+            pool.set_warm_up(now, service.warm_up);
         }
         let limits = catalogue
             .accounts
@@ -450,6 +489,7 @@
         let rate_limit_share = self.rate_limit_share();
         for (name, pool) in &mut self.pools {
             pool.set_upstreams(now, by_service.remove(name).unwrap_or_default());
+            pool.set_evacuated(now, &self.evacuated);
             pool.set_rate_limit_share(now, rate_limit_share);
             pool.apply_notices(now, &self.notices);
         }
--- a/crates/dragonflystep_dispatch/src/ids.rs
+++ b/crates/dragonflystep_dispatch/src/ids.rs
@@ -26,6 +26,9 @@
 /// Name of the data centre in which a node or an upstream runs.
 pub type DataCentreName = Arc<str>;
 
+/// Name of a region, a group of data centres that lie close together.
+pub type RegionName = Arc<str>;
+
 /// Priority of a request; 0 goes first. Combines the account's tier (high byte) with the route's tier (low byte).
 pub type Tier = u16;
 
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -31,17 +31,18 @@
 mod speed;
 mod upstream;
 mod usage;
+mod warm_up;
 
 pub use self::{
     catalogue::{
         Account, AccountQuota, Catalogue, ClientLimits, Engine, QuotaUnit, Route, RouteKind,
-        Service, Target,
+        Service, Target, WarmUp,
     },
     dispatcher::{Dispatcher, Effect, Event, SharedLimits},
     ids::{
         AccountName, DataCentreName, MonotonicTime, NodeIncarnation, NodeName, PromptSegmentId,
-        RequestFingerprint, RouteName, RunId, ServiceName, Tier, UpstreamId, UpstreamVersion,
-        node_incarnation_of, run_id,
+        RegionName, RequestFingerprint, RouteName, RunId, ServiceName, Tier, UpstreamId,
+        UpstreamVersion, node_incarnation_of, run_id,
     },
     messages::{
         ActiveRun, Grant, PromptSegment, Refusal, RefusalReason, RunOutcome, RunReport,
@@ -55,4 +56,5 @@
     routing::{RouteMatch, RoutingError, RoutingTable},
     upstream::{Upstream, UpstreamPhase},
     usage::{AccountUsage, UsageLedger, UsageReport, UsageSlice},
+    warm_up::WarmUpRules,
 };
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -155,6 +155,14 @@
 /// the queue.
 pub(crate) const PACED_BURST_S: f64 = 0.1;
 
+/// Share of the rate that a cold upstream bears at which an owner sends requests there. The rest covers requests that a
+/// pause or a slow link held back and that arrive together.
+pub(crate) const COLD_RATE_USE: f64 = 0.8;
+
+/// Lowest rate at which a cold upstream gets requests, in requests per second. One that gets none never shows that it is
+/// well.
+pub(crate) const MIN_COLD_RATE_PER_S: f64 = 0.1;
+
 /// Number of nodes that an upstream has to refuse at the same time to count as refusing all nodes.
 pub(crate) const MIN_REFUSED_NODES: usize = 2;
 
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -59,6 +59,50 @@
     pub fingerprint: RequestFingerprint,
     /// Data centre of the entry node.
     pub data_centre: DataCentreName,
+    /// Data centres whose upstreams may run the request; absent if all may.
+    pub allowed_data_centres: Option<Vec<DataCentreName>>,
+}
+
+impl SlotRequest {
+    /// Removes what describes the content of the request, if it may not be processed in the data centre of its receiver;
+    /// `None` means that the data centre is not known.
+    ///
+    /// The owner then places the request without knowing which of its segments an upstream has cached. The fingerprint
+    /// stays: a hash of 64 bits reveals nothing, and it keeps a request that crashes upstreams from being sent on.
+    ///
+    /// # Examples
+    /// ```
+    /// use dragonflystep_dispatch::{PromptSegment, SlotRequest, WorkSize};
+    /// use std::time::Duration;
+    ///
+    /// let mut request = SlotRequest {
+    ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
+    ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(5), longest_pause: None,
+    ///     size: WorkSize { segments: vec![PromptSegment { id: 7, tokens: 60 }], ..WorkSize::default() },
+    ///     previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, data_centre: "a".into(),
+    ///     allowed_data_centres: Some(vec!["a".into()]),
+    /// };
+    /// request.redact_for(Some(&"a".into()));
+    /// assert_eq!(request.size.segments.len(), 1);
+    /// request.redact_for(Some(&"b".into()));
+    /// assert!(request.size.segments.is_empty());
+    /// ```
+    pub fn redact_for(&mut self, receiver: Option<&DataCentreName>) {
+        let is_permitted = match (&self.allowed_data_centres, receiver) {
+            (None, _) => true,
+            (Some(allowed), Some(receiver)) => allowed.contains(receiver),
+            (Some(_), None) => false,
+        };
+        if !is_permitted {
+            self.size.segments.clear();
+        }
+    }
+
+    /// Whether the upstreams of a data centre may run the request.
+    pub(crate) fn permits(&self, data_centre: &DataCentreName) -> bool {
+        let allowed = self.allowed_data_centres.as_ref();
+        allowed.is_none_or(|allowed| allowed.contains(data_centre))
+    }
 }
 
 /// A slot at an upstream that an owner granted to a run.
--- a/crates/dragonflystep_dispatch/src/notices.rs
+++ b/crates/dragonflystep_dispatch/src/notices.rs
@@ -47,6 +47,11 @@
         /// Length of the back-off, from the time of the statement.
         duration: Duration,
     },
+    /// The upstream is cold and bears only a few requests per second.
+    WarmingUp {
+        /// How long it stays cold, from the time of the statement; zero if it is warm.
+        left: Duration,
+    },
 }
 
 /// The known notices of all upstreams.
@@ -61,6 +66,7 @@
     service: ServiceName,
     rate: Option<StatedRate>,
     leaving_at: Option<MonotonicTime>,
+    warm_up: Option<StatedWarmUp>,
     back_offs: HashMap<NodeIncarnation, BackOffPeriod>,
 }
 
@@ -77,6 +83,15 @@
     }
 }
 
+/// What an upstream stated about its warm-up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StatedWarmUp {
+    /// Time of the statement.
+    pub(crate) at: MonotonicTime,
+    /// End of the warm-up.
+    pub(crate) until: MonotonicTime,
+}
+
 #[derive(Debug)]
 struct StatedRate {
     /// The limit; absent once the upstream no longer states one.
@@ -96,6 +111,7 @@
                 service: notice.service.clone(),
                 rate: None,
                 leaving_at: None,
+                warm_up: None,
                 back_offs: HashMap::new(),
             });
         match notice.kind {
@@ -111,6 +127,7 @@
             NoticeKind::BackOff { node, duration } => {
                 known.apply_back_off(now, node, BackOffPeriod { at, duration })
             }
+            NoticeKind::WarmingUp { left } => known.apply_warm_up(at, left),
         }
     }
 
@@ -119,6 +136,11 @@
         self.upstreams.get(upstream)?.rate_limit()
     }
 
+    /// Returns what an upstream last stated about its warm-up.
+    pub(crate) fn warm_up(&self, upstream: &UpstreamId) -> Option<StatedWarmUp> {
+        self.upstreams.get(upstream)?.warm_up
+    }
+
     /// Whether an upstream announced that it is leaving.
     pub(crate) fn is_leaving(&self, upstream: &UpstreamId) -> bool {
         let known = self.upstreams.get(upstream);
@@ -203,6 +225,16 @@
         true
     }
 
+    /// Applies a statement about the warm-up, unless a later one is known; returns whether it applies.
+    fn apply_warm_up(&mut self, at: MonotonicTime, left: Duration) -> bool {
+        if self.warm_up.is_some_and(|known| at <= known.at) {
+            return false;
+        }
+        let until = at.saturating_add(left);
+        self.warm_up = Some(StatedWarmUp { at, until });
+        true
+    }
+
     fn rate_limit(&self) -> Option<f64> {
         self.rate.as_ref()?.requests_per_s
     }
@@ -212,13 +244,18 @@
         let mut back_offs = self.back_offs.values();
         self.rate_limit().is_some()
             || self.leaving_at.is_some()
+            || self.warm_up.is_some_and(|warm_up| warm_up.until > now)
             || back_offs.any(|back_off| back_off.until() > now)
     }
 
     fn latest_at(&self) -> MonotonicTime {
         let rate_at = self.rate.as_ref().map(|rate| rate.at);
         let back_off_at = self.back_offs.values().map(|back_off| back_off.at).max();
-        let latest = rate_at.max(self.leaving_at).max(back_off_at);
+        let warm_up_at = self.warm_up.map(|warm_up| warm_up.at);
+        let latest = rate_at
+            .max(self.leaving_at)
+            .max(back_off_at)
+            .max(warm_up_at);
         latest.unwrap_or_default()
     }
 
@@ -246,6 +283,12 @@
             let (node, duration) = (*node, back_off.duration);
             notice(NoticeKind::BackOff { node, duration }, back_off.at)
         });
-        rate.into_iter().chain(leaving).chain(back_offs).collect()
+        let warm_up = self.warm_up.filter(|warm_up| warm_up.until > now);
+        let warm_up = warm_up.map(|warm_up| {
+            let left = warm_up.until.saturating_sub(warm_up.at);
+            notice(NoticeKind::WarmingUp { left }, warm_up.at)
+        });
+        let stated = rate.into_iter().chain(leaving).chain(warm_up);
+        stated.chain(back_offs).collect()
     }
 }
--- a/crates/dragonflystep_dispatch/src/pacer.rs
+++ b/crates/dragonflystep_dispatch/src/pacer.rs
@@ -1,17 +1,20 @@
 //! Limits the rate of requests to an upstream with a token bucket.
 //!
-//! It is designed for upstreams in trouble that state a rate far below that of the waiting requests. The bucket begins
-//! empty, since another owner may have used up the rate just before this one learned of the limit.
+//! It is designed for upstreams in trouble, or cold ones, that accept far fewer requests than are waiting. The bucket
+//! begins empty, since another owner may have used up the rate just before this one learned of the limit.
 
 use crate::{
     ids::MonotonicTime,
     limits::{MIN_TRIAL_RATE_PER_S, PACED_BURST_S},
 };
 
+/// Smallest size of the bucket, in requests: a bucket that can't hold one request would never permit any.
+pub(crate) const PACED_BURST_REQUESTS: f64 = 1.0;
+
 /// A token bucket: permits accrue at a rate, and each request takes one.
 #[derive(Debug)]
 pub(crate) struct RequestPacer {
-    /// The rate limit that the upstream stated for all nodes together, in requests per second.
+    /// The rate limit of the upstream for all nodes together, in requests per second.
     limit_per_s: f64,
     /// Share of that limit that this owner may use.
     share: f64,
@@ -29,21 +32,25 @@
         }
     }
 
-    /// Changes the stated rate limit; accrued permits are kept.
+    /// Changes the rate limit; accrued permits are kept.
     pub(crate) fn set_rate(&mut self, now: MonotonicTime, limit_per_s: f64) {
         self.accrue(now);
         self.limit_per_s = limit_per_s;
     }
 
-    /// Changes the share of the limit; accrued permits are kept.
+    /// Changes the share of the limit. Accrued permits shrink with the share: when all nodes lose sight of one another,
+    /// each of them would otherwise send a request at once.
     pub(crate) fn set_share(&mut self, now: MonotonicTime, share: f64) {
         self.accrue(now);
+        if share < self.share {
+            self.permits = self.permits.min(share);
+        }
         self.share = share;
     }
 
     /// Returns the requests per second that this owner may send.
     ///
-    /// The stated limit counts as at least [`MIN_TRIAL_RATE_PER_S`], since only answers show that a limit is over.
+    /// The limit counts as at least [`MIN_TRIAL_RATE_PER_S`], since only answers show that a limit is over.
     pub(crate) fn requests_per_s(&self) -> f64 {
         self.limit_per_s.max(MIN_TRIAL_RATE_PER_S) * self.share
     }
@@ -64,7 +71,7 @@
 
     fn permits_at(&self, now: MonotonicTime) -> f64 {
         let passed_s = now.saturating_sub(self.at).as_secs_f64();
-        let max_permits = (self.requests_per_s() * PACED_BURST_S).max(1.0);
+        let max_permits = (self.requests_per_s() * PACED_BURST_S).max(PACED_BURST_REQUESTS);
         (self.permits + self.requests_per_s() * passed_s).min(max_permits)
     }
 }
--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -64,7 +64,10 @@
         let is_backed_off = upstream
             .requested_back_off
             .applies_to(now, node_incarnation_of(request.run));
-        if is_backed_off || request.excluded_upstreams.contains(&upstream.entry.id) {
+        if is_backed_off
+            || request.excluded_upstreams.contains(&upstream.entry.id)
+            || !request.permits(&upstream.entry.data_centre)
+        {
             continue;
         }
         let prediction = predict(now, request, objective_left, upstream, model);
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -5,17 +5,18 @@
 mod rolling;
 mod runs;
 mod summary;
+mod warming;
 
 pub use self::summary::{PoolSummary, UpstreamSummary};
 
 use {
     self::placing::Choice,
     crate::{
-        catalogue::Engine,
+        catalogue::{Engine, WarmUp},
         dispatcher::Effect,
         ids::{MonotonicTime, RunId, Tier},
         limits::{DEFAULT_CACHE_TOKENS, MAX_SKIPPED_REQUESTS, UNORDERED_VERSION_HOLD},
-        messages::SlotRequest,
+        messages::{RefusalReason, SlotRequest},
         notices::UpstreamNotices,
         queue::{QueuedRequest, WaitQueue},
         refusal::{ArrivalRates, longest_wait},
@@ -24,6 +25,7 @@
         rollout::{Rollout, RolloutRules},
         speed::{RouteAverages, Speed},
         upstream::{LiveUpstream, Run, Upstream},
+        warm_up::WarmUpRules,
     },
     std::collections::{BTreeMap, HashMap, HashSet},
 };
@@ -50,6 +52,10 @@
     granted_at: BTreeMap<Tier, MonotonicTime>,
     rollout: Option<Rollout>,
     rollout_rules: RolloutRules,
+    warm_up: Option<WarmUp>,
+    warm_up_rules: WarmUpRules,
+    /// Whether the data centre of any upstream is evacuated.
+    has_evacuated: bool,
     /// Requests that were refused after waiting and whose quota units were not refunded yet.
     refused_waiting: Vec<SlotRequest>,
 }
@@ -87,6 +93,11 @@
                     if is_unordered && self.rollout.is_none() {
                         upstream.extend_back_off(now + UNORDERED_VERSION_HOLD);
                     }
+                    upstream.set_cold_limit(now, self.cold_limit_per_s(), self.rate_share());
+                    if let Some(warm_up) = self.warm_up.filter(|_| !versions.is_empty()) {
+                        // It has just started, unless it states otherwise.
+                        upstream.assume_cold(now, warm_up.duration, self.rate_share());
+                    }
                     upstream
                 }
             };
@@ -100,7 +111,7 @@
 
     /// Applies the upstreams' own notices, which take precedence over the registry.
     pub(crate) fn apply_notices(&mut self, now: MonotonicTime, notices: &UpstreamNotices) {
-        let share = self.rate_limit_share.unwrap_or(1.0);
+        let share = self.rate_share();
         for upstream in &mut self.upstreams {
             upstream.apply_notices(now, notices, share);
         }
@@ -114,6 +125,11 @@
         }
     }
 
+    /// Returns the share of the upstreams' rate limits that this owner may use.
+    fn rate_share(&self) -> f64 {
+        self.rate_limit_share.unwrap_or(1.0)
+    }
+
     /// Whether the pool holds no state that would be lost if it were dropped.
     pub(crate) fn is_unused(&self) -> bool {
         self.engine.is_none()
@@ -131,6 +147,10 @@
         mut request: SlotRequest,
         effects: &mut Vec<Effect>,
     ) {
+        if self.is_unservable(&request) {
+            self.refuse_new(now, &request, RefusalReason::NoUpstream, effects);
+            return;
+        }
         let previous_request_at = self.refused.first_requested_at(now, request.fingerprint);
         let first_requested_at = previous_request_at.unwrap_or(now);
         let was_refused = previous_request_at.is_some();
@@ -142,7 +162,7 @@
         let max_wait = longest_wait(&request, was_refused, time_to_first_event);
         let tier = request.tier;
         let is_late = request.objective_left < time_to_first_event;
-        let wait = self.estimate_wait(now, tier, is_late, run_ms);
+        let wait = self.estimate_wait(now, &request, is_late, run_ms);
         self.arrivals.record_arrival(now, request.tier, run_ms);
         let run = request.run;
         self.queue.push(
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -183,6 +183,7 @@
             first_event_expected_at: prediction.first_event_at,
             end_expected_at: prediction.end_at,
             is_overdue: false,
+            began_cold: upstream.is_cold(at),
             request,
         };
         upstream.runs.insert(run.request.run, run);
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -5,11 +5,10 @@
     crate::{
         dispatcher::Effect,
         ids::{MonotonicTime, RunId, Tier},
-        limits::{FIRST_EVENT_BASE_MS, LOWER_TIER_GRANT_MEMORY},
+        limits::{FIRST_EVENT_BASE_MS, LOWER_TIER_GRANT_MEMORY, MAX_RETRY_AFTER},
         messages::{RefusalReason, SlotDecision, SlotRequest},
         refusal::{predicted_wait, refuse},
         speed::Speed,
-        upstream::UpstreamPhase,
     },
     std::time::Duration,
 };
@@ -27,7 +26,7 @@
         for queued in self.queue.take_expired(now) {
             self.refused
                 .record(now, &queued.request, queued.first_requested_at);
-            let wait = self.estimate_wait(now, queued.request.tier, true, queued.run_ms);
+            let wait = self.estimate_wait(now, &queued.request, true, queued.run_ms);
             effects.push(Effect {
                 run: queued.request.run,
                 decision: SlotDecision::Refused(refuse(self.refusal_reason(), wait)),
@@ -47,6 +46,52 @@
         self.refused.record(now, request, first.unwrap_or(now));
     }
 
+    /// Refuses a new request that was not queued.
+    pub(super) fn refuse_new(
+        &mut self,
+        now: MonotonicTime,
+        request: &SlotRequest,
+        reason: RefusalReason,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.record_immediate_refusal(now, request);
+        effects.push(Effect {
+            run: request.run,
+            decision: SlotDecision::Refused(refuse(reason, MAX_RETRY_AFTER)),
+        });
+    }
+
+    /// Whether the service has upstreams, but evacuations and the regions of the request leave none of them. Such a
+    /// request would wait in vain.
+    pub(super) fn is_unservable(&self, request: &SlotRequest) -> bool {
+        let is_affected = self.has_evacuated || request.allowed_data_centres.is_some();
+        if !is_affected || self.upstreams.is_empty() {
+            return false;
+        }
+        !self
+            .upstreams
+            .iter()
+            .any(|upstream| !upstream.is_evacuated && request.permits(&upstream.entry.data_centre))
+    }
+
+    /// Refuses the waiting requests for which no upstream is left.
+    pub(crate) fn refuse_unservable(&mut self, now: MonotonicTime, effects: &mut Vec<Effect>) {
+        if !self.has_evacuated {
+            return;
+        }
+        let unservable = self
+            .queue
+            .iter()
+            .filter(|queued| self.is_unservable(&queued.request));
+        let runs: Vec<RunId> = unservable.map(|queued| queued.request.run).collect();
+        for run in runs {
+            if let Some(queued) = self.queue.remove(run) {
+                self.refuse_new(now, &queued.request, RefusalReason::NoUpstream, effects);
+                self.refused_waiting.push(queued.request);
+            }
+        }
+    }
+
     /// Refuses one request of the queue.
     pub(super) fn refuse_waiting(
         &mut self,
@@ -67,9 +112,10 @@
     }
 
     fn refusal_reason(&self) -> RefusalReason {
-        let has_ready_upstream = self.upstreams.iter().any(|upstream| {
-            upstream.entry.phase == UpstreamPhase::Ready && self.takes_main_traffic(upstream)
-        });
+        let has_ready_upstream = self
+            .upstreams
+            .iter()
+            .any(|upstream| upstream.is_open() && self.takes_main_traffic(upstream));
         if has_ready_upstream {
             RefusalReason::Overloaded
         } else {
@@ -77,18 +123,20 @@
         }
     }
 
-    /// Estimates how long a new request of `tier` waits for a slot.
+    /// Estimates how long a new request waits for a slot.
     pub(super) fn estimate_wait(
         &mut self,
         now: MonotonicTime,
-        tier: Tier,
+        request: &SlotRequest,
         is_late: bool,
         own_run_ms: f64,
     ) -> Duration {
+        let tier = request.tier;
         let slots: f64 = self
             .upstreams
             .iter()
             .filter(|upstream| upstream.is_usable(now) && self.takes_main_traffic(upstream))
+            .filter(|upstream| request.permits(&upstream.entry.data_centre))
             .map(|upstream| upstream.effective_slots(own_run_ms))
             .sum();
         if slots == 0.0 {
@@ -107,7 +155,7 @@
             .upstreams
             .iter()
             .filter(|upstream| self.takes_main_traffic(upstream));
-        let ready = main.filter(|upstream| upstream.entry.phase == UpstreamPhase::Ready);
+        let ready = main.filter(|upstream| upstream.is_open());
         let ends_at = ready
             .map(|upstream| upstream.requested_back_off.until())
             .min();
--- a/crates/dragonflystep_dispatch/src/pool/rolling.rs
+++ b/crates/dragonflystep_dispatch/src/pool/rolling.rs
@@ -5,13 +5,13 @@
     crate::{
         ids::MonotonicTime,
         limits::{FIRST_EVENT_BASE_MS, OVERDUE_AFTER, ROLLOUT_CANARY_UPSTREAMS},
-        messages::{RunReport, SlotRequest},
+        messages::{RunOutcome, RunReport, SlotRequest},
         rollout::{
             Rollout, RolloutInputs, RolloutOrder, RolloutPhase, RolloutRules, RolloutStep,
             overdue_sample, sample_of,
         },
         speed::Speed,
-        upstream::{LiveUpstream, Run, UpstreamPhase},
+        upstream::{LiveUpstream, Run},
     },
 };
 
@@ -82,7 +82,7 @@
             .upstreams
             .iter()
             .filter(is_new)
-            .filter(|upstream| upstream.entry.phase == UpstreamPhase::Ready);
+            .filter(|upstream| upstream.is_open());
         RolloutInputs {
             now,
             new_upstreams: new_ready.count(),
@@ -149,7 +149,7 @@
         let upstreams = self.upstreams.iter().enumerate();
         let new = upstreams.filter(|(_, upstream)| self.is_of_new_version(upstream));
         let candidates = new
-            .filter(|(_, upstream)| upstream.entry.phase == UpstreamPhase::Ready)
+            .filter(|(_, upstream)| upstream.is_open())
             .take(ROLLOUT_CANARY_UPSTREAMS);
         let free: Vec<_> = candidates
             .filter(|(_, upstream)| upstream.has_free_slot(now))
@@ -171,7 +171,12 @@
 
     /// Adds the outcome and duration of a run to the evidence about its version.
     pub(super) fn observe_for_rollout(&mut self, index: usize, run: &Run, report: &RunReport) {
-        if run.is_overdue || !self.rollout.as_ref().is_some_and(Rollout::is_undecided) {
+        // A cold upstream is slow whatever its version.
+        let is_cold_answer = run.began_cold && report.outcome == RunOutcome::Completed;
+        if run.is_overdue
+            || is_cold_answer
+            || !self.rollout.as_ref().is_some_and(Rollout::is_undecided)
+        {
             return;
         }
         let expected_ms = self.expected_ms(&run.request, report);
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -8,7 +8,7 @@
         limits::MAX_SUSPENDED_SHARE,
         messages::{ActiveRun, RunOutcome, RunReport, SlotRequest, UpstreamLoad},
         placement::predict,
-        upstream::{Run, UpstreamPhase},
+        upstream::Run,
     },
 };
 
@@ -59,6 +59,9 @@
         let upstream = &mut self.upstreams[index];
         let run = upstream.runs.remove(&report.run)?;
         upstream.record_outcome(now, report.outcome, may_back_off);
+        if report.outcome == RunOutcome::Unreachable {
+            self.assume_restarted(now, index);
+        }
         self.observe_for_rollout(index, &run, report);
         let upstream = &mut self.upstreams[index];
         if report.outcome == RunOutcome::Completed {
@@ -92,10 +95,7 @@
         let others = self.upstreams.iter().enumerate();
         let suspended =
             others.filter(|(other, upstream)| *other != index && upstream.is_suspended());
-        let ready = self
-            .upstreams
-            .iter()
-            .filter(|upstream| upstream.entry.phase == UpstreamPhase::Ready);
+        let ready = self.upstreams.iter().filter(|upstream| upstream.is_open());
         let max_suspended = (ready.count() as f64 * MAX_SUSPENDED_SHARE).max(1.0);
         (suspended.count() + 1) as f64 <= max_suspended
     }
--- a/crates/dragonflystep_dispatch/src/queue.rs
+++ b/crates/dragonflystep_dispatch/src/queue.rs
@@ -79,6 +79,10 @@
         self.waiting.is_empty()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.waiting.iter()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.waiting.len()
     }
--- a/crates/dragonflystep_dispatch/src/routing.rs
+++ b/crates/dragonflystep_dispatch/src/routing.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         catalogue::{Account, Catalogue, Route, Service},
-        ids::{ServiceName, Tier},
+        ids::{RegionName, ServiceName, Tier},
     },
     std::{collections::HashMap, sync::Arc},
 };
@@ -36,6 +36,25 @@
         let account_tier = Tier::from(account.unwrap_or(self.route.tier));
         account_tier << 8 | Tier::from(self.route.tier)
     }
+
+    /// Returns the regions in which the request may be processed, or `None` if it may be processed anywhere. If both
+    /// the route and the account name regions, those that both name are returned; there may be none.
+    pub fn allowed_regions(&self) -> Option<Vec<RegionName>> {
+        let by_route = &self.route.allowed_regions;
+        let by_account = self
+            .account
+            .as_ref()
+            .map_or(&[][..], |account| &account.allowed_regions);
+        match (by_route.is_empty(), by_account.is_empty()) {
+            (true, true) => None,
+            (false, true) => Some(by_route.clone()),
+            (true, false) => Some(by_account.to_vec()),
+            (false, false) => {
+                let common = by_route.iter().filter(|region| by_account.contains(region));
+                Some(common.cloned().collect())
+            }
+        }
+    }
 }
 
 /// A catalogue with indexes for finding routes, accounts and services.
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -8,7 +8,7 @@
             LOST_RUN_GRACE, MAX_BACK_OFF, MEAN_WEIGHT, REJECTION_BACK_OFF,
         },
         messages::{RunOutcome, SlotRequest, UpstreamLoad},
-        notices::UpstreamNotices,
+        notices::{StatedWarmUp, UpstreamNotices},
         pacer::RequestPacer,
         prefix_cache::PrefixCache,
         requested_back_off::RequestedBackOff,
@@ -61,6 +61,8 @@
     pub(crate) end_expected_at: MonotonicTime,
     /// Whether it was counted as failed in a roll-out because it is long overdue.
     pub(crate) is_overdue: bool,
+    /// Whether the upstream was cold when the run began.
+    pub(crate) began_cold: bool,
 }
 
 /// An upstream with everything that its owner knows about it.
@@ -83,8 +85,18 @@
     /// Length of the next back-off; doubles with each back-off, up to [`MAX_BACK_OFF`].
     back_off: Duration,
     back_off_until: MonotonicTime,
-    /// Enforces the rate limit that the upstream stated; absent if it stated none.
+    /// Enforces the rate limit that the upstream stated and, while it is cold, that of its warm-up; absent if neither
+    /// applies.
     pacer: Option<RequestPacer>,
+    /// The rate limit that the upstream stated, in requests per second.
+    stated_limit_per_s: Option<f64>,
+    /// Requests per second that this owner may send while the upstream is cold; absent if its service has no warm-up.
+    cold_limit_per_s: Option<f64>,
+    /// When the upstream was last assumed to be cold without having stated so, and until when.
+    assumed_cold: Option<StatedWarmUp>,
+    stated_cold: Option<StatedWarmUp>,
+    /// Whether an operator evacuated its data centre, so that it gets no requests.
+    pub(crate) is_evacuated: bool,
     /// The back-off that the upstream itself requested in its refusals.
     pub(crate) requested_back_off: RequestedBackOff,
 }
@@ -105,6 +117,11 @@
             back_off: INITIAL_BACK_OFF,
             back_off_until: Duration::ZERO,
             pacer: None,
+            stated_limit_per_s: None,
+            cold_limit_per_s: None,
+            assumed_cold: None,
+            stated_cold: None,
+            is_evacuated: false,
             requested_back_off: RequestedBackOff::default(),
         }
     }
@@ -121,17 +138,63 @@
         }
         self.requested_back_off
             .set(notices.back_offs(&self.entry.id));
-        let requests_per_s = notices.rate_limit(&self.entry.id);
-        self.pacer = match (self.pacer.take(), requests_per_s) {
+        self.stated_limit_per_s = notices.rate_limit(&self.entry.id);
+        self.stated_cold = notices.warm_up(&self.entry.id);
+        self.update_pacer(now, share);
+    }
+
+    /// Changes the rate at which the upstream gets requests while it is cold; `None` if its service has no warm-up.
+    pub(crate) fn set_cold_limit(
+        &mut self,
+        now: MonotonicTime,
+        limit_per_s: Option<f64>,
+        share: f64,
+    ) {
+        self.cold_limit_per_s = limit_per_s;
+        self.update_pacer(now, share);
+    }
+
+    /// Counts the upstream as cold for `duration`, unless it states something else later than now.
+    pub(crate) fn assume_cold(&mut self, now: MonotonicTime, duration: Duration, share: f64) {
+        self.assumed_cold = Some(StatedWarmUp {
+            at: now,
+            until: now.saturating_add(duration),
+        });
+        self.update_pacer(now, share);
+    }
+
+    /// Whether the upstream is cold, by the latest of its statements and what was assumed.
+    pub(crate) fn is_cold(&self, now: MonotonicTime) -> bool {
+        let latest = match (self.stated_cold, self.assumed_cold) {
+            (Some(stated), Some(assumed)) if stated.at < assumed.at => Some(assumed),
+            (stated, assumed) => stated.or(assumed),
+        };
+        self.cold_limit_per_s.is_some() && latest.is_some_and(|warm_up| now < warm_up.until)
+    }
+
+    /// Adapts the pacer to the limits that apply now; this owner may use `share` of them.
+    pub(crate) fn update_pacer(&mut self, now: MonotonicTime, share: f64) {
+        let cold_limit_per_s = self.cold_limit_per_s.filter(|_| self.is_cold(now));
+        let limit_per_s = match (self.stated_limit_per_s, cold_limit_per_s) {
+            (Some(stated), Some(cold)) => Some(stated.min(cold)),
+            (stated, cold) => stated.or(cold),
+        };
+        self.pacer = match (self.pacer.take(), limit_per_s) {
             (_, None) => None,
-            (None, Some(rate)) => Some(RequestPacer::new(now, rate, share)),
-            (Some(mut pacer), Some(rate)) => {
-                pacer.set_rate(now, rate);
+            (None, Some(limit)) => Some(RequestPacer::new(now, limit, share)),
+            (Some(mut pacer), Some(limit)) => {
+                pacer.set_rate(now, limit);
                 Some(pacer)
             }
         };
     }
 
+    /// Whether the upstream takes new requests: it is ready and its data centre is not evacuated. It may still be full or
+    /// backed off.
+    pub(crate) fn is_open(&self) -> bool {
+        self.entry.phase == UpstreamPhase::Ready && !self.is_evacuated
+    }
+
     /// Changes the share of the upstream's rate limit that this owner may use.
     pub(crate) fn set_rate_share(&mut self, now: MonotonicTime, share: f64) {
         if let Some(pacer) = &mut self.pacer {
@@ -185,11 +248,9 @@
         self.entry.slots.unwrap_or(DEFAULT_SLOTS).max(1)
     }
 
-    /// Whether the upstream is ready and not backed off; it may still be full.
+    /// Whether the upstream is open and not backed off; it may still be full.
     pub(crate) fn is_usable(&self, now: MonotonicTime) -> bool {
-        self.entry.phase == UpstreamPhase::Ready
-            && now >= self.back_off_until
-            && now >= self.requested_back_off.until()
+        self.is_open() && now >= self.back_off_until && now >= self.requested_back_off.until()
     }
 
     /// Whether a request can start at once.
@@ -225,7 +286,7 @@
     /// Whether the upstream could run a request although it is backed off for failed answers, or because it refused
     /// another node.
     pub(crate) fn has_fallback_slot(&self, now: MonotonicTime) -> bool {
-        if self.entry.phase != UpstreamPhase::Ready || !self.has_permit(now) {
+        if !self.is_open() || !self.has_permit(now) {
             return false;
         }
         let is_probe = self.requested_back_off.may_be_probed_early(now) && self.runs.is_empty();
--- a/crates/dragonflystep_dispatch/tests/routing.rs
+++ b/crates/dragonflystep_dispatch/tests/routing.rs
@@ -23,6 +23,7 @@
         }],
         max_attempts: 2,
         is_anonymous: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -32,6 +33,7 @@
         keys: vec![key.to_owned()],
         tier,
         quota: None,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/dragonflystep_dispatch/tests/support/accounts.rs
+++ b/crates/dragonflystep_dispatch/tests/support/accounts.rs
@@ -18,6 +18,7 @@
             units_per_s,
             burst_units,
         }),
+        allowed_regions: Vec::new(),
     };
     Catalogue {
         accounts: vec![account],
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -18,7 +18,7 @@
     dragonflystep_dispatch::{
         Catalogue, Dispatcher, Engine, Event, QuotaRules, Refusal, RefusalReason, RolloutRules,
         RunId, RunOutcome, RunReport, Service, SharedLimits, SlotDecision, SlotRequest, Upstream,
-        UpstreamPhase, WorkSize,
+        UpstreamPhase, WarmUpRules, WorkSize,
     },
     std::{
         collections::{BTreeMap, BinaryHeap, HashMap},
@@ -128,6 +128,10 @@
             exposed_share: 0.1,
             exposed_slack: 50.0,
         },
+        warm_up: WarmUpRules {
+            tolerated_ratio: 1.5,
+            tolerated_requests: 5.0,
+        },
     }
 }
 
@@ -157,6 +161,7 @@
                 cache_tokens: 700_000,
                 tokens_per_event: 4,
             }),
+            warm_up: None,
         }],
         ..Catalogue::default()
     }
@@ -195,6 +200,7 @@
         excluded_upstreams: Vec::new(),
         fingerprint: run,
         data_centre: "a".into(),
+        allowed_data_centres: None,
     }
 }
 
--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -5,7 +5,9 @@
 
 use {
     bytes::Bytes,
-    dragonflystep_dispatch::{AccountName, Catalogue, DataCentreName, Route, UpstreamId, WorkSize},
+    dragonflystep_dispatch::{
+        AccountName, Catalogue, DataCentreName, RegionName, Route, UpstreamId, WorkSize,
+    },
     http::{HeaderMap, Method, StatusCode, Uri},
     std::time::Duration,
 };
@@ -75,6 +77,8 @@
     pub is_leaving: Stated<bool>,
     /// How long this node is to back off from the upstream, which refused the request.
     pub back_off: Stated<Duration>,
+    /// How long the upstream stays cold; zero if it is warm.
+    pub warm_up_left: Stated<Duration>,
     /// How long the upstream keeps the connection open while it is idle; none if the answer does not say.
     pub keep_alive: Option<Duration>,
 }
@@ -84,6 +88,8 @@
 pub struct DirectoryQuery {
     /// The data centre that the caller names as its own; none without one.
     pub data_centre: Option<DataCentreName>,
+    /// The region that the caller names as its own; none without one.
+    pub region: Option<RegionName>,
 }
 
 /// Why a document or the head of a request can't be parsed.
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -22,7 +22,8 @@
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
-        Account, Refusal, Route, RouteKind, RunOutcome, ServiceName, SlotRequest, Tier, UpstreamId,
+        Account, DataCentreName, Refusal, Route, RouteKind, RunOutcome, ServiceName, SlotRequest,
+        Tier, UpstreamId,
     },
     http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header},
     http_body_util::{BodyExt, Full},
@@ -60,6 +61,8 @@
     /// Units that the request takes from the quota of its account; 0 without a quota.
     pub(crate) quota_units: u32,
     pub(crate) tier: Tier,
+    /// Data centres whose upstreams may run the request; none if all may.
+    pub(crate) allowed_data_centres: Option<Vec<DataCentreName>>,
     /// Counts the request as open; a stopping node waits for open requests within its grace period.
     pub(crate) _open_request: OpenRequest,
 }
@@ -171,6 +174,7 @@
             excluded_upstreams: attempts.upstreams().to_vec(),
             fingerprint: self.fingerprint,
             data_centre: self.node.settings.data_centre.clone(),
+            allowed_data_centres: self.allowed_data_centres.clone(),
         }
     }
 
@@ -205,7 +209,7 @@
             return DispatchOutcome::NotRun(UNCONFIRMED);
         }
         if !slot.accepts_requests() {
-            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream wants no request, as this node was told; its place is given back");
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream takes no such request, as this node knows; its slot is returned");
             slot.return_unused();
             return DispatchOutcome::NotRun(WITHHELD);
         }
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -108,6 +108,9 @@
 /// serve the request.
 pub(crate) const OTHER_NODE_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Retry-after time stated to a request that no data centre may process. Only an operator can change that.
+pub(crate) const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Maximum number of buffered chunks of a stream to a slow caller.
 pub(crate) const STREAM_BUFFER_CHUNKS: usize = 64;
 
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -192,6 +192,15 @@
         peers.get(node).map(|peer| peer.link.clone())
     }
 
+    /// The data centre in which a node runs; `None` if the node is not listed.
+    pub(crate) fn data_centre(&self, node: &str) -> Option<DataCentreName> {
+        if *node == *self.own_record.node {
+            return Some(self.own_record.data_centre.clone());
+        }
+        let peers = self.peers.borrow();
+        peers.get(node).map(|peer| peer.record.data_centre.clone())
+    }
+
     /// A separate connection for a transfer. A gossip exchange that times out resets the usual connection and would
     /// break off the transfer with it.
     pub(crate) fn transfer_link(&self, node: &str) -> Option<PeerLink> {
@@ -249,12 +258,13 @@
         ranking.clone()
     }
 
-    /// Addresses for the callers of a data centre: the visible nodes there, or all visible nodes if fewer than two
-    /// are there.
+    /// Addresses for the callers of a data centre: the visible nodes there, or those in `region_data_centres` if fewer
+    /// than two are there, or all visible nodes if there are fewer than two as well.
     pub(crate) fn caller_addresses(
         &self,
         now: MonotonicTime,
         data_centre: Option<&DataCentreName>,
+        region_data_centres: &[DataCentreName],
         is_leaving: bool,
     ) -> Vec<String> {
         let peers = self.peers.borrow();
@@ -267,12 +277,14 @@
         if !is_leaving {
             records.push(&self.own_record);
         }
-        let near: Vec<&MemberRecord> = records
-            .iter()
-            .filter(|record| Some(&record.data_centre) == data_centre)
-            .copied()
-            .collect();
-        let chosen = if near.len() >= 2 { near } else { records };
+        let select = |is_near: &dyn Fn(&DataCentreName) -> bool| -> Vec<&MemberRecord> {
+            let near = records.iter().filter(|record| is_near(&record.data_centre));
+            near.copied().collect()
+        };
+        let near = select(&|other| Some(other) == data_centre);
+        let in_region = select(&|other| region_data_centres.contains(other));
+        let chosen = [near, in_region].into_iter().find(|near| near.len() >= 2);
+        let chosen = chosen.unwrap_or(records);
         chosen.iter().map(|record| record.ingress.clone()).collect()
     }
 
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -11,6 +11,7 @@
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
         entry_runs::EntryRuns,
+        evacuations::KnownEvacuations,
         limits::OWNERS_KEY,
         list_fetch::ListFetches,
         members::Members,
@@ -25,13 +26,14 @@
         views::Views,
     },
     dragonflystep_dispatch::{
-        Event, MonotonicTime, NodeIncarnation, NodeName, RunId, Upstream, UpstreamPhase,
-        Visibility, run_id,
+        DataCentreName, Event, MonotonicTime, NodeIncarnation, NodeName, RegionName, RunId,
+        Upstream, UpstreamPhase, Visibility, run_id,
     },
     dragonflystep_peer::PeerNetwork,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         cell::{Cell, RefCell},
+        collections::BTreeMap,
         io,
         net::SocketAddr,
         ops::Range,
@@ -72,6 +74,9 @@
     pub(crate) views: Views,
     pub(crate) list_fetches: ListFetches,
     pub(crate) rollouts: Rc<Rollouts>,
+    pub(crate) evacuations: KnownEvacuations,
+    /// The region of each data centre; a reload of the settings may change it.
+    pub(crate) regions: RefCell<BTreeMap<DataCentreName, RegionName>>,
     pub(crate) stop: StopSignal,
     /// Grace period of a stop. A reload of the settings may change this value and the next one.
     pub(crate) stop_grace: Cell<Duration>,
@@ -122,6 +127,8 @@
             views: Views::default(),
             list_fetches: ListFetches::default(),
             rollouts,
+            evacuations: KnownEvacuations::default(),
+            regions: RefCell::new(settings.regions.clone()),
             stop: StopSignal::default(),
             stop_grace: Cell::new(settings.stop_grace),
             address_lifetime: Cell::new(settings.address_lifetime),
@@ -283,6 +290,7 @@
             .apply(Event::LimitsChanged(settings.shared_limits));
         self.stop_grace.set(settings.stop_grace);
         self.address_lifetime.set(settings.address_lifetime);
+        self.regions.replace(settings.regions.clone());
         log::info!(limits:? = settings.shared_limits; "settings reloaded");
     }
 
@@ -366,6 +374,14 @@
                 self.members.mutually_visible_count(now) as f64,
             ),
             ("runs_of_this_entry", self.entry_runs.count() as f64),
+            (
+                "evacuated_data_centres",
+                self.evacuated_data_centres().len() as f64,
+            ),
+            (
+                "runs_in_evacuated_data_centres",
+                self.runs_in_evacuated_data_centres() as f64,
+            ),
             ("requests_waiting_here", self.owner.waiting_count() as f64),
             ("services_known", self.owner.service_count() as f64),
         ]
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -17,6 +17,7 @@
             node: self.settings.node.clone(),
             catalogue_version: self.views.catalogue_list().announced_version(),
             registry_version: self.views.registry_list().announced_version(),
+            evacuations: self.evacuations_for(None),
             is_leaving: self.stop.is_stopping(),
             members_version: self.members.list().announced_version(),
             platform_silence: self.platform_silence(),
@@ -34,6 +35,7 @@
         let mut digest = self.empty_digest();
         digest.unavailable = unavailable;
         digest.notices = self.owner.notices();
+        digest.evacuations = self.evacuations_for(Some(theirs));
         let registry = self.views.registry_list();
         if let Some(changes) = registry.few_changes_since(theirs.registry_version, MAX_PIGGYBACKED)
         {
@@ -102,6 +104,7 @@
         self.members
             .set_reports_us_unavailable(&theirs.node, &theirs.unavailable);
         self.apply_rollouts(&theirs.rollouts, &theirs.node);
+        self.apply_digest_evacuations(theirs);
         if let Some(changes) = from_json(&theirs.members, "list of nodes", &theirs.node) {
             self.apply_member_changes(changes, &theirs.node);
         }
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -134,6 +134,13 @@
         self.dispatcher.borrow().is_leaving(upstream)
     }
 
+    /// Whether an upstream stated that it is cold and that time is not over yet.
+    pub(crate) fn is_stated_cold(&self, upstream: &UpstreamId) -> bool {
+        self.dispatcher
+            .borrow()
+            .is_stated_cold(self.now(), upstream)
+    }
+
     /// Whether an upstream has asked a node to back off for a time that is not over yet.
     pub(crate) fn is_backed_off(&self, upstream: &UpstreamId, node: NodeIncarnation) -> bool {
         let dispatcher = self.dispatcher.borrow();
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -5,13 +5,13 @@
         answer::AnswerBody,
         dialect::RequestFacts,
         job::Job,
-        limits::{DEFAULT_TIME_LEFT, OTHER_NODE_RETRY_AFTER},
+        limits::{DEFAULT_TIME_LEFT, NO_REGION_RETRY_AFTER, OTHER_NODE_RETRY_AFTER},
         local_reply::LocalReply,
         node::Node,
         stop::{OpenRequest, StopSignal},
     },
     bytes::Bytes,
-    dragonflystep_dispatch::{Account, QuotaUnit, RoutingError},
+    dragonflystep_dispatch::{Account, DataCentreName, QuotaUnit, RouteMatch, RoutingError},
     http::{Request, Response, StatusCode, request::Parts},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::{Body as _, Incoming},
@@ -76,6 +76,7 @@
             RoutingError::NoRoute => LocalReply::new(StatusCode::NOT_FOUND, "no_route"),
             RoutingError::UnknownKey => LocalReply::new(StatusCode::UNAUTHORIZED, "unknown_key"),
         })?;
+    let allowed_data_centres = allowed_data_centres(node, &resolved, &facts.request_id)?;
     let time_left = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived + time_left.min(resolved.route.timeout);
     let limits = table.catalogue().limits;
@@ -104,10 +105,36 @@
         fingerprint: xxh3_64(&concat_le_bytes(&hashes)),
         quota_units,
         tier,
+        allowed_data_centres,
         _open_request: open_request,
     }))
 }
 
+/// The data centres in which the request may be processed; `None` if it may be processed in all.
+///
+/// # Errors
+/// If there is no such data centre: the regions of route and account have none in common, or are unknown.
+fn allowed_data_centres(
+    node: &Node,
+    resolved: &RouteMatch,
+    request_id: &str,
+) -> Result<Option<Vec<DataCentreName>>, LocalReply> {
+    let Some(regions) = resolved.allowed_regions() else {
+        return Ok(None);
+    };
+    let data_centres = node.data_centres_in(&regions);
+    if data_centres.is_empty() {
+        let account = resolved.account.as_ref();
+        let account = account.map_or("", |account| &account.name);
+        log::warn!(request = request_id, route:% = resolved.route.name, account, regions:? = regions; "no data centre may process the request");
+        return Err(LocalReply::not_run(
+            "no_permitted_region",
+            NO_REGION_RETRY_AFTER,
+        ));
+    }
+    Ok(Some(data_centres))
+}
+
 fn concat_le_bytes(hashes: &[u64]) -> Vec<u8> {
     hashes.iter().flat_map(|hash| hash.to_le_bytes()).collect()
 }
--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -204,9 +204,14 @@
     }
     let now = node.owner.now();
     let data_centre = query.data_centre.as_ref();
-    let addresses = node
-        .members
-        .caller_addresses(now, data_centre, node.stop.is_stopping());
+    let region = data_centre.and_then(|data_centre| node.region_of(data_centre));
+    let region = region.or(query.region);
+    let region_data_centres =
+        region.map_or_else(Vec::new, |region| node.data_centres_in(&[region]));
+    let is_leaving = node.stop.is_stopping();
+    let addresses =
+        node.members
+            .caller_addresses(now, data_centre, &region_data_centres, is_leaving);
     if addresses.is_empty() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "no node\n".to_owned());
     }
--- a/crates/dragonflystep_edge/src/settings.rs
+++ b/crates/dragonflystep_edge/src/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of a node, independent of the format of the settings file.
 
 use {
-    dragonflystep_dispatch::{DataCentreName, NodeName, SharedLimits},
+    dragonflystep_dispatch::{DataCentreName, NodeName, RegionName, SharedLimits},
     serde::Deserialize,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// Everything that a node is configured with.
@@ -13,6 +13,8 @@
     pub node: NodeName,
     /// Data centre in which the node runs.
     pub data_centre: DataCentreName,
+    /// The region of each data centre of the system.
+    pub regions: BTreeMap<DataCentreName, RegionName>,
     /// Listening address for callers' requests.
     pub ingress: SocketAddr,
     /// Listening address for the platform's readiness checks.
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::settings::NodeSettings,
-    dragonflystep_dispatch::{DataCentreName, NodeName, QuotaRules, RolloutRules, SharedLimits},
+    dragonflystep_dispatch::{
+        DataCentreName, NodeName, QuotaRules, RegionName, RolloutRules, SharedLimits, WarmUpRules,
+    },
     serde::Deserialize,
-    std::{net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 /// How long callers keep a list of addresses, if the operator's limit permits it. It is short because the listed
@@ -44,6 +46,9 @@
 struct SettingsFile {
     node: NodeName,
     data_centre: DataCentreName,
+    /// May be absent if no route or account is bound to regions.
+    #[serde(default)]
+    regions: BTreeMap<DataCentreName, RegionName>,
     listen: Listen,
     cpu_share: f64,
     max_descriptors: usize,
@@ -54,6 +59,9 @@
     /// May be absent if operators order no roll-outs.
     #[serde(default)]
     rollouts: Rollouts,
+    /// May be absent if no service has a warm-up.
+    #[serde(default)]
+    warm_up: WarmUp,
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     first_start: bool,
@@ -103,6 +111,22 @@
     }
 }
 
+/// How many requests a cold upstream may get in any one second, beyond the rate that its service states.
+#[derive(Clone, Debug, Deserialize)]
+struct WarmUp {
+    tolerated_ratio: f64,
+    tolerated_requests: f64,
+}
+
+impl Default for WarmUp {
+    fn default() -> Self {
+        Self {
+            tolerated_ratio: 1.0,
+            tolerated_requests: 0.0,
+        }
+    }
+}
+
 /// Reads the settings of a node. The second value is the part for the adapter of the platform.
 ///
 /// # Errors
@@ -136,6 +160,7 @@
     let settings = NodeSettings {
         node: file.node,
         data_centre: file.data_centre,
+        regions: file.regions,
         ingress: file.listen.ingress,
         readiness: file.listen.readiness,
         directory: file.listen.directory,
@@ -157,6 +182,10 @@
                 exposed_share: file.rollouts.exposed_share,
                 exposed_slack: file.rollouts.exposed_slack,
             },
+            warm_up: WarmUpRules {
+                tolerated_ratio: file.warm_up.tolerated_ratio,
+                tolerated_requests: file.warm_up.tolerated_requests,
+            },
         },
         stop_grace: Duration::from_secs_f64(file.stop_grace_s),
         address_lifetime: MAX_ADDRESS_LIFETIME
@@ -226,6 +255,16 @@
             "rollouts.exposed_slack",
             "must be 0 or more",
         ),
+        (
+            !(0.0..=100.0).contains(&file.warm_up.tolerated_ratio),
+            "warm_up.tolerated_ratio",
+            "must be 0 to 100",
+        ),
+        (
+            !(0.0..=1e9).contains(&file.warm_up.tolerated_requests),
+            "warm_up.tolerated_requests",
+            "must be 0 or more",
+        ),
         (
             !is_duration(file.retries.window_s),
             "retries.window_s",
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -76,12 +76,21 @@
         }
     }
 
-    /// Whether the upstream accepts requests from this node. By the notices known here, it has not asked the node to
-    /// back off and is not leaving.
+    /// Whether the request may be sent to the upstream. By what is known here, the upstream has not asked this node to
+    /// back off and is not leaving, and requests like this one may be sent to its data centre.
     pub(crate) fn accepts_requests(&self) -> bool {
         let (node, upstream) = (&self.node, &self.grant.upstream);
         let must_back_off = node.owner.is_backed_off(upstream, node.node_incarnation());
-        !must_back_off && !node.owner.is_leaving(upstream)
+        !must_back_off && !node.owner.is_leaving(upstream) && self.permits_data_centre()
+    }
+
+    fn permits_data_centre(&self) -> bool {
+        let runs = self.node.entry_runs.runs.borrow();
+        let allowed = runs
+            .get(&self.run)
+            .and_then(|run| run.request.allowed_data_centres.as_deref());
+        self.node
+            .permits_data_centre_of(&self.grant.upstream, allowed)
     }
 
     /// Returns the slot unused and sends the owner the notices by which the upstream accepts no requests.
@@ -256,7 +265,9 @@
         request,
         is_armed: true,
     };
-    let decision = link.request_slot(request);
+    let mut sent_request = request.clone();
+    node.redact_for(owner, &mut sent_request);
+    let decision = link.request_slot(&sent_request);
     tokio::pin!(decision);
     loop {
         tokio::select! {
@@ -289,7 +300,10 @@
 ) {
     let now = node.owner.now();
     let counted_by = (owner.clone(), link.generation());
-    let moved_runs = node.entry_runs.reassign(now, &request.service, &counted_by);
+    let mut moved_runs = node.entry_runs.reassign(now, &request.service, &counted_by);
+    for run in &mut moved_runs {
+        node.redact_for(owner, &mut run.request);
+    }
     let usage_report = node
         .entry_runs
         .usage_report_for(now, &node.settings.node, &counted_by);
--- a/crates/dragonflystep_edge/src/upstream_notices.rs
+++ b/crates/dragonflystep_edge/src/upstream_notices.rs
@@ -16,6 +16,9 @@
 /// Source, in the log, of notices that this node read from an answer.
 const OWN_ANSWER: &str = "answer";
 
+/// Source, in the log, of notices that the registry holds.
+const REGISTRY: &str = "registry";
+
 /// The head of an upstream's answer, with the request that it belongs to.
 pub(crate) struct ObservedAnswer<'a> {
     pub(crate) service: &'a ServiceName,
@@ -49,6 +52,7 @@
             self.read_rate_limit(answer),
             self.read_leaving(answer),
             self.read_back_off(answer),
+            self.read_warm_up(answer),
         ];
         statements
             .into_iter()
@@ -119,10 +123,41 @@
         }
     }
 
+    fn read_warm_up(&self, answer: &ObservedAnswer<'_>) -> Option<(NoticeKind, Duration)> {
+        match &answer.facts.warm_up_left {
+            Stated::Value(left) => {
+                self.metrics.count("upstream_notices_total", "warm_up");
+                Some((NoticeKind::WarmingUp { left: *left }, Duration::ZERO))
+            }
+            Stated::Unreadable(text) => {
+                self.note_unreadable(answer, "warm-up", text);
+                None
+            }
+            Stated::Absent => None,
+        }
+    }
+
+    /// Applies what the registry says about the warm-up of an upstream.
+    pub fn apply_registered_warm_up(
+        &self,
+        service: &ServiceName,
+        upstream: &UpstreamId,
+        left: Duration,
+    ) {
+        let notice = UpstreamNotice {
+            service: service.clone(),
+            upstream: upstream.clone(),
+            kind: NoticeKind::WarmingUp { left },
+            age: Duration::ZERO,
+        };
+        self.apply_notice(&notice, REGISTRY, "");
+    }
+
     fn apply_notice(&self, notice: &UpstreamNotice, source: &str, request_id: &str) {
         let upstream = &notice.upstream;
         let limit_before = self.owner.rate_limit(upstream);
         let was_leaving = self.owner.is_leaving(upstream);
+        let was_cold = self.owner.is_stated_cold(upstream);
         self.owner.apply(Event::NoticeReceived(notice.clone()));
         if let NoticeKind::BackOff { node, duration } = notice.kind
             && source == OWN_ANSWER
@@ -133,6 +168,9 @@
         if !was_leaving && self.owner.is_leaving(upstream) {
             log::info!(request = request_id, upstream:%, source; "upstream leaves");
         }
+        if !was_cold && self.owner.is_stated_cold(upstream) {
+            log::info!(request = request_id, upstream:%, source; "upstream is cold");
+        }
         match self.owner.rate_limit(upstream) {
             limit if limit == limit_before => {}
             Some(requests_per_s) => {
--- a/crates/dragonflystep_edge/src/views.rs
+++ b/crates/dragonflystep_edge/src/views.rs
@@ -5,7 +5,7 @@
         catalogue_list::{CatalogueEntry, catalogue_of, entries_of},
         versioned_list::{Changes, ListEntry, VersionedList},
     },
-    dragonflystep_dispatch::{Catalogue, RoutingTable, Upstream},
+    dragonflystep_dispatch::{Catalogue, DataCentreName, RoutingTable, Upstream, UpstreamId},
     std::{
         cell::{Ref, RefCell},
         rc::Rc,
@@ -85,6 +85,14 @@
         self.registry.borrow().clone()
     }
 
+    /// The data centre of an upstream; `None` if the registry does not list the upstream.
+    pub(crate) fn data_centre_of(&self, upstream: &UpstreamId) -> Option<DataCentreName> {
+        let registry = self.registry.borrow();
+        let mut upstreams = registry.upstreams.iter();
+        let found = upstreams.find(|listed| listed.id == *upstream);
+        found.map(|listed| listed.data_centre.clone())
+    }
+
     /// Replaces the registry by a newer one. Returns whether it was replaced.
     pub(crate) fn replace_registry(&self, version: u64, upstreams: Vec<Upstream>) -> bool {
         let has_changed = self.registry_list.borrow_mut().replace(version, upstreams);
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -23,6 +23,9 @@
   avoid @13 :List(Text);
   fingerprint @14 :UInt64;
   dataCentre @15 :Text;
+  # Data centres whose upstreams may run the request; all may if `isRestricted` is false.
+  allowedDataCentres @16 :List(Text);
+  isRestricted @17 :Bool;
 }
 
 enum RefusalReason { overloaded @0; quotaExceeded @1; retryBudgetSpent @2; noUpstream @3; crashSuspect @4; }
@@ -66,6 +69,8 @@
     leaving @5 :Void;
     # It refused a request of `node`, and asked that node to send no further ones for `lastsUs` from then on.
     resting :group { node @6 :UInt32; lastsUs @7 :UInt64; }
+    # It is cold for this long from then on; 0 if it is warm.
+    coldForUs @8 :UInt64;
   }
 }
 
@@ -101,8 +106,13 @@
   # Time for which the platform has been answering without a longer gap, counting answers to this node and answers
   # that other nodes reported to it. In milliseconds, so that it fits in 32 bits and does not enlarge the message.
   platformUpMs @12 :UInt32;
+  # Evacuated data centres; absent if the sender knows of none and has seen none in the receiver's digest.
+  evacuations @13 :Evacuations;
 }
 
+# The whole set of evacuated data centres, with its version.
+struct Evacuations { version @0 :UInt64; dataCentres @1 :List(Text); }
+
 interface Peer {
   ask @0 (ask :Ask) -> (verdict :Verdict);
   ended @1 (ended :Ended) -> ();
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Digest, ListName, ListPiece, ListPieceRequest, PeerError,
+        Digest, Evacuations, ListName, ListPiece, ListPieceRequest, PeerError,
         notice_codec::{decode_notices, encode_notices},
         peer_capnp::{
             self, account_spending, ask, digest, ended, list_piece, list_piece_ask, running_run,
@@ -38,14 +38,20 @@
         entry.set_tokens(segment.tokens);
     }
     out.set_attempt(request.previous_attempts);
-    let mut excluded = out
-        .reborrow()
-        .init_avoid(request.excluded_upstreams.len() as u32);
-    for (index, upstream) in request.excluded_upstreams.iter().enumerate() {
-        excluded.set(index as u32, &**upstream);
-    }
+    let excluded = &request.excluded_upstreams;
+    encode_text_list(excluded, out.reborrow().init_avoid(excluded.len() as u32));
     out.set_fingerprint(request.fingerprint);
     out.set_data_centre(&*request.data_centre);
+    if let Some(allowed) = &request.allowed_data_centres {
+        out.set_is_restricted(true);
+        encode_text_list(allowed, out.init_allowed_data_centres(allowed.len() as u32));
+    }
+}
+
+fn encode_text_list(texts: &[Arc<str>], mut out: capnp::text_list::Builder<'_>) {
+    for (index, text) in texts.iter().enumerate() {
+        out.set(index as u32, &**text);
+    }
 }
 
 pub(crate) fn decode_slot_request(input: ask::Reader<'_>) -> Result<SlotRequest, PeerError> {
@@ -74,6 +80,11 @@
         excluded_upstreams: decode_text_list(input.get_avoid()?)?,
         fingerprint: input.get_fingerprint(),
         data_centre: input.get_data_centre()?.to_str()?.into(),
+        allowed_data_centres: if input.get_is_restricted() {
+            Some(decode_text_list(input.get_allowed_data_centres()?)?)
+        } else {
+            None
+        },
     })
 }
 
@@ -300,11 +311,16 @@
     out.set_catalogue_version(digest.catalogue_version);
     out.set_registry_version(digest.registry_version);
     out.set_registry(&digest.registry);
-    let mut unavailable = out
-        .reborrow()
-        .init_unavailable(digest.unavailable.len() as u32);
-    for (index, node) in digest.unavailable.iter().enumerate() {
-        unavailable.set(index as u32, &**node);
+    let unavailable = &digest.unavailable;
+    encode_text_list(
+        unavailable,
+        out.reborrow().init_unavailable(unavailable.len() as u32),
+    );
+    if let Some(evacuations) = &digest.evacuations {
+        let mut entry = out.reborrow().init_evacuations();
+        entry.set_version(evacuations.version);
+        let names = &evacuations.data_centres;
+        encode_text_list(names, entry.init_data_centres(names.len() as u32));
     }
     out.set_is_leaving(digest.is_leaving);
     out.set_platform_heard_us(to_us(digest.platform_silence));
@@ -320,6 +336,15 @@
     Ok(Digest {
         node: input.get_node()?.to_str()?.into(),
         catalogue_version: input.get_catalogue_version(),
+        evacuations: if input.has_evacuations() {
+            let evacuations = input.get_evacuations()?;
+            Some(Evacuations {
+                version: evacuations.get_version(),
+                data_centres: decode_text_list(evacuations.get_data_centres()?)?,
+            })
+        } else {
+            None
+        },
         registry_version: input.get_registry_version(),
         registry: input.get_registry()?.to_vec(),
         unavailable: decode_text_list(input.get_unavailable()?)?,
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -26,7 +26,7 @@
 };
 
 use {
-    dragonflystep_dispatch::{MonotonicTime, NodeName, UpstreamNotice},
+    dragonflystep_dispatch::{DataCentreName, MonotonicTime, NodeName, UpstreamNotice},
     std::time::Duration,
 };
 
@@ -68,6 +68,15 @@
     pub bytes: Vec<u8>,
 }
 
+/// The whole set of evacuated data centres.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuations {
+    /// Version of the set.
+    pub version: u64,
+    /// Names of the data centres.
+    pub data_centres: Vec<DataCentreName>,
+}
+
 /// Summary of a node's state, which nodes exchange by gossip.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Digest {
@@ -75,6 +84,8 @@
     pub node: NodeName,
     /// Version of the sender's catalogue; 0 if it has none or requests the whole catalogue.
     pub catalogue_version: u64,
+    /// The evacuated data centres; absent if the sender knows of none and has seen none in the receiver's digest.
+    pub evacuations: Option<Evacuations>,
     /// Version of the sender's registry; 0 if it has none or requests the whole registry.
     pub registry_version: u64,
     /// Encoded changes of the registry; sent only if the receiver's version is older and the changes are few.
--- a/crates/dragonflystep_peer/src/notice_codec.rs
+++ b/crates/dragonflystep_peer/src/notice_codec.rs
@@ -30,6 +30,7 @@
                 back_off.set_node(node);
                 back_off.set_lasts_us(to_us(duration));
             }
+            NoticeKind::WarmingUp { left } => entry.set_cold_for_us(to_us(left)),
         }
     }
 }
@@ -69,5 +70,8 @@
             node: back_off.get_node(),
             duration: Duration::from_micros(back_off.get_lasts_us()),
         }),
+        Which::ColdForUs(left_us) => Some(NoticeKind::WarmingUp {
+            left: Duration::from_micros(left_us),
+        }),
     }
 }
