Compare a sample of the upstreams in pools of more than 256

Cause: an owner went through all upstreams of a service several times for each request: to find free slots before and after each grant, to predict the run at each of them, for the mean speed, for the expected wait, to find the upstream of a run that ended, and to check whether it may be backed off.

In a large pool, upstreams where runs ended lately and a random sample of up to 64 with free slots are compared; all are gone through only if none of 512 has one. Runs and upstreams are found by an index, the expected wait is computed only if a request gets no slot, the mean speed of a large pool now and then. Pools of up to 256 upstreams decide as before. The owner's summary in the log is bounded to 200 upstreams and counts those examined.

--- a/benches/benches/placing.rs
+++ b/benches/benches/placing.rs
@@ -27,6 +27,12 @@
 /// Number of iterations from which the median and the 99th percentile are computed.
 const SAMPLES: usize = 20_000;
 
+/// Pools of which only a few upstreams have runs.
+const LIGHTLY_LOADED_UPSTREAMS: [usize; 3] = [150, 2_900, 11_600];
+
+/// Runs in flight in these pools.
+const LIGHT_LOAD_RUNS: usize = 120;
+
 fn limits() -> SharedLimits {
     SharedLimits {
         retry_ratio: 0.2,
@@ -81,8 +87,8 @@
     }
 }
 
-/// An owner whose slots are all occupied.
-struct SaturatedOwner {
+/// An owner with runs in flight, usually in all of its slots.
+struct LoadedOwner {
     owner: Dispatcher,
     now: Duration,
     next_run: RunId,
@@ -90,21 +96,26 @@
     running: VecDeque<RunId>,
 }
 
-impl SaturatedOwner {
+impl LoadedOwner {
     fn new(upstreams: usize, waiting: usize) -> Self {
-        let mut saturated = Self {
+        Self::with_requests(upstreams, upstreams * SLOTS as usize + waiting)
+    }
+
+    /// An owner that has granted slots for `requests`, as far as there are slots.
+    fn with_requests(upstreams: usize, requests: usize) -> Self {
+        let mut owner = Self {
             owner: Dispatcher::new(limits()),
             now: Duration::from_secs(20),
             next_run: 0,
             running: VecDeque::new(),
         };
         let entries = (0..upstreams).map(upstream).collect();
-        saturated.reduce(Event::UpstreamsChanged(entries));
-        for _ in 0..upstreams * SLOTS as usize + waiting {
-            saturated.next_run += 1;
-            saturated.reduce(Event::SlotRequested(slot_request(saturated.next_run)));
+        owner.reduce(Event::UpstreamsChanged(entries));
+        for _ in 0..requests {
+            owner.next_run += 1;
+            owner.reduce(Event::SlotRequested(slot_request(owner.next_run)));
         }
-        saturated
+        owner
     }
 
     fn reduce(&mut self, event: Event) {
@@ -141,20 +152,28 @@
     group.warm_up_time(Duration::from_secs(1));
     for (upstreams, waiting) in SIZES {
         let name = format!("{upstreams}_upstreams_{waiting}_waiting");
-        let mut saturated = SaturatedOwner::new(upstreams, waiting);
+        let mut owner = LoadedOwner::new(upstreams, waiting);
+        group.bench_function(BenchmarkId::from_parameter(&name), |bencher| {
+            bencher.iter(|| owner.decide());
+        });
+        print_percentiles(&name, &mut owner);
+    }
+    for upstreams in LIGHTLY_LOADED_UPSTREAMS {
+        let name = format!("{upstreams}_upstreams_{LIGHT_LOAD_RUNS}_runs");
+        let mut owner = LoadedOwner::with_requests(upstreams, LIGHT_LOAD_RUNS);
         group.bench_function(BenchmarkId::from_parameter(&name), |bencher| {
-            bencher.iter(|| saturated.decide());
+            bencher.iter(|| owner.decide());
         });
-        print_percentiles(&name, &mut saturated);
+        print_percentiles(&name, &mut owner);
     }
     group.finish();
 }
 
-fn print_percentiles(name: &str, saturated: &mut SaturatedOwner) {
+fn print_percentiles(name: &str, owner: &mut LoadedOwner) {
     let mut durations: Vec<Duration> = (0..SAMPLES)
         .map(|_| {
             let start = Instant::now();
-            saturated.decide();
+            owner.decide();
             start.elapsed()
         })
         .collect();
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -435,7 +435,7 @@
             return;
         }
         if let Some(pool) = self.pools.get_mut(&notice.service) {
-            pool.apply_notices(now, &self.notices);
+            pool.apply_notices_of(now, &self.notices, &notice.upstream);
             pool.place_waiting(now, effects);
         }
     }
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -188,6 +188,23 @@
 /// the work of an owner with hundreds of waiting requests.
 pub(crate) const MAX_SKIPPED_REQUESTS: usize = 24;
 
+/// Largest number of upstreams that are all compared for a request; about 0.1 ms of work.
+pub(crate) const SMALL_POOL_UPSTREAMS: usize = 256;
+
+/// Number of upstreams with free slots that are compared for a request in a larger pool. The best of 64 drawn at random
+/// is among the best 5 in 100 with a probability of 0.96.
+pub(crate) const MAX_CANDIDATES: usize = 64;
+
+/// Number of upstreams that are examined to find that many. If none of them has a free slot, all are examined.
+pub(crate) const MAX_PROBES: usize = 512;
+
+/// Time for which the mean speed of a large pool is used before it is computed again, per upstream; keeps that work
+/// below one part in a hundred of a core, however many upstreams there are.
+pub(crate) const MEAN_SPEED_LIFETIME_PER_UPSTREAM: Duration = Duration::from_micros(10);
+
+/// Interval at which a large pool looks for runs whose end was never reported.
+pub(crate) const RUN_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Shortest time between two sorts of the queue, and so the precision with which requests become late.
 pub(crate) const QUEUE_SORT_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -190,6 +190,11 @@
         )
     }
 
+    /// Whether the outcome counts as a failure of the upstream.
+    pub(crate) fn has_failed(self) -> bool {
+        matches!(self, Self::Failed | Self::Broken | Self::Unreachable)
+    }
+
     /// Returns the name of the outcome in logs and metrics.
     ///
     /// # Examples
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -1,5 +1,6 @@
 //! The state of one service at its owner: its upstreams, its queue, and what was learned from earlier runs.
 
+mod candidates;
 mod placing;
 mod refusing;
 mod rolling;
@@ -10,11 +11,11 @@
 pub use self::summary::{PoolSummary, UpstreamSummary};
 
 use {
-    self::placing::Choice,
+    self::{candidates::Search, placing::Choice},
     crate::{
         catalogue::{Engine, WarmUp},
         dispatcher::Effect,
-        ids::{MonotonicTime, RunId, Tier},
+        ids::{MonotonicTime, RunId, Tier, UpstreamId},
         limits::{DEFAULT_CACHE_TOKENS, MAX_SKIPPED_REQUESTS, UNORDERED_VERSION_HOLD},
         messages::{RefusalReason, SlotRequest},
         notices::UpstreamNotices,
@@ -27,7 +28,11 @@
         upstream::{LiveUpstream, Run, Upstream},
         warm_up::WarmUpRules,
     },
-    std::collections::{BTreeMap, HashMap, HashSet},
+    std::{
+        cell::Cell,
+        collections::{BTreeMap, HashMap, HashSet},
+        time::Duration,
+    },
 };
 
 /// The state of one service at its owner.
@@ -36,6 +41,15 @@
     pub(crate) retries: RetryBudget,
     engine: Option<Engine>,
     upstreams: Vec<LiveUpstream>,
+    /// Index of each listed upstream, by its id.
+    upstream_index: HashMap<UpstreamId, usize>,
+    /// Index of the upstream of each run.
+    run_index: HashMap<RunId, usize>,
+    search: Search,
+    /// Mean speed of a large pool, with the time at which it was computed.
+    mean_speed: Cell<Option<(MonotonicTime, Speed)>>,
+    /// When runs whose end was never reported were last looked for.
+    swept_at: MonotonicTime,
     /// Runs at upstreams that left the registry; their ends are still reported.
     unlisted_runs: HashMap<RunId, Run>,
     queue: WaitQueue,
@@ -106,9 +120,35 @@
         for (_, removed) in previous {
             self.unlisted_runs.extend(removed.runs);
         }
+        self.rebuild_indices();
         self.forget_replaced_rollout();
     }
 
+    fn rebuild_indices(&mut self) {
+        self.search.reset();
+        self.mean_speed.set(None);
+        self.upstream_index.clear();
+        self.run_index.clear();
+        for (index, upstream) in self.upstreams.iter().enumerate() {
+            self.upstream_index.insert(upstream.entry.id.clone(), index);
+            self.run_index
+                .extend(upstream.runs.keys().map(|run| (*run, index)));
+        }
+    }
+
+    /// Applies the notices of one upstream, which take precedence over the registry.
+    pub(crate) fn apply_notices_of(
+        &mut self,
+        now: MonotonicTime,
+        notices: &UpstreamNotices,
+        upstream: &UpstreamId,
+    ) {
+        let share = self.rate_share();
+        if let Some(&index) = self.upstream_index.get(upstream) {
+            self.upstreams[index].apply_notices(now, notices, share);
+        }
+    }
+
     /// Applies the upstreams' own notices, which take precedence over the registry.
     pub(crate) fn apply_notices(&mut self, now: MonotonicTime, notices: &UpstreamNotices) {
         let share = self.rate_share();
@@ -157,12 +197,16 @@
         let elapsed = now.saturating_sub(first_requested_at);
         request.objective_left = request.objective_left.saturating_sub(elapsed);
         let is_canary = self.count_for_rollout(&request);
-        let mean = self.mean_speed();
+        let mean = self.mean_speed(now);
         let (time_to_first_event, run_ms) = self.durations_at_mean_speed(&request, mean);
         let max_wait = longest_wait(&request, was_refused, time_to_first_event);
         let tier = request.tier;
         let is_late = request.objective_left < time_to_first_event;
-        let wait = self.estimate_wait(now, &request, is_late, run_ms);
+        // While no request waits, the estimate is needed only if this one gets no slot.
+        let wait = (!self.queue.is_empty()).then(|| {
+            let work_ms = self.queue.work_ahead_ms(now, tier, is_late) + run_ms;
+            self.estimate_wait(now, &request, run_ms, work_ms)
+        });
         self.arrivals.record_arrival(now, request.tier, run_ms);
         let run = request.run;
         self.queue.push(
@@ -179,8 +223,16 @@
             },
         );
         self.place_waiting(now, effects);
-        let is_decided = effects.iter().any(|effect| effect.run == run);
-        if !is_decided && wait > max_wait && !self.granted_lower_tier_recently(now, tier) {
+        if effects.iter().any(|effect| effect.run == run) {
+            return;
+        }
+        let wait = wait.unwrap_or_else(|| {
+            let queued = self.queue.find(run);
+            queued.map_or(Duration::ZERO, |queued| {
+                self.estimate_wait(now, &queued.request, run_ms, run_ms)
+            })
+        });
+        if wait > max_wait && !self.granted_lower_tier_recently(now, tier) {
             self.refuse_waiting(now, run, wait, effects);
         }
     }
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -1,7 +1,7 @@
-//! Finds upstreams with free slots, chooses one for a waiting request, and grants the slot.
+//! Chooses an upstream for a waiting request and grants the slot.
 
 use {
-    super::ServicePool,
+    super::{ServicePool, candidates::FreeUpstreams},
     crate::{
         dispatcher::Effect,
         ids::MonotonicTime,
@@ -9,7 +9,7 @@
         messages::{Grant, SlotDecision, SlotRequest},
         placement::{Prediction, ServiceModel, choose},
         queue::QueuedRequest,
-        upstream::{LiveUpstream, Run},
+        upstream::Run,
     },
 };
 
@@ -23,66 +23,12 @@
     Wait,
 }
 
-/// Upstreams that have free slots now, as indices into the pool's list.
-pub(super) struct FreeUpstreams {
-    /// Upstreams that take all requests other than canaries.
-    pub(super) main: Vec<usize>,
-    /// Upstreams of the new version, for canaries only.
-    pub(super) canary: Vec<usize>,
-    /// Prefill time of the fastest full upstream, in milliseconds per token; absent if none is full.
-    pub(super) fastest_full_ms_per_token: Option<f64>,
-}
-
 impl ServicePool {
     /// Limits the slots that this owner uses to a share of all slots; `None` removes the limit.
     pub(crate) fn limit_slots(&mut self, share: Option<f64>) {
         self.slot_share = share;
     }
 
-    /// Finds the upstreams that have free slots now.
-    pub(super) fn free_upstreams(&self, now: MonotonicTime) -> FreeUpstreams {
-        let mut free_upstreams = FreeUpstreams {
-            main: Vec::new(),
-            canary: self.free_canary_upstreams(now),
-            fastest_full_ms_per_token: None,
-        };
-        if let Some(share) = self.slot_share {
-            let slots: u32 = self.upstreams.iter().map(LiveUpstream::slots).sum();
-            let running: usize = self
-                .upstreams
-                .iter()
-                .map(|upstream| upstream.runs.len())
-                .sum();
-            if running as f64 >= (f64::from(slots) * share).ceil() {
-                return free_upstreams;
-            }
-        }
-        for (index, upstream) in self.upstreams.iter().enumerate() {
-            if !self.takes_main_traffic(upstream) {
-                continue;
-            }
-            if upstream.has_free_slot(now) {
-                free_upstreams.main.push(index);
-            } else if upstream.is_usable(now) && upstream.has_permit(now) {
-                let speed = upstream.speed.prefill_ms_per_token;
-                let fastest = free_upstreams
-                    .fastest_full_ms_per_token
-                    .unwrap_or(f64::INFINITY);
-                free_upstreams.fastest_full_ms_per_token = Some(fastest.min(speed));
-            }
-        }
-        if free_upstreams.main.is_empty() && free_upstreams.fastest_full_ms_per_token.is_none() {
-            // No upstream is usable. Upstreams that are backed off may still answer part of the requests, while backing
-            // off the only upstream of a service would refuse all of its requests.
-            let upstreams = self.upstreams.iter().enumerate();
-            let fallback = upstreams.filter(|(_, upstream)| {
-                self.takes_main_traffic(upstream) && upstream.has_fallback_slot(now)
-            });
-            free_upstreams.main.extend(fallback.map(|(index, _)| index));
-        }
-        free_upstreams
-    }
-
     /// Returns the facts about the service that predictions need.
     pub(super) fn model(&self) -> ServiceModel<'_> {
         ServiceModel {
@@ -186,6 +132,7 @@
             began_cold: upstream.is_cold(at),
             request,
         };
+        self.run_index.insert(run.request.run, index);
         upstream.runs.insert(run.request.run, run);
     }
 }
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -5,7 +5,9 @@
     crate::{
         dispatcher::Effect,
         ids::{MonotonicTime, RunId, Tier},
-        limits::{FIRST_EVENT_BASE_MS, LOWER_TIER_GRANT_MEMORY, MAX_RETRY_AFTER},
+        limits::{
+            FIRST_EVENT_BASE_MS, LOWER_TIER_GRANT_MEMORY, MAX_RETRY_AFTER, RUN_SWEEP_INTERVAL,
+        },
         messages::{RefusalReason, SlotDecision, SlotRequest},
         refusal::{predicted_wait, refuse},
         speed::Speed,
@@ -26,16 +28,28 @@
         for queued in self.queue.take_expired(now) {
             self.refused
                 .record(now, &queued.request, queued.first_requested_at);
-            let wait = self.estimate_wait(now, &queued.request, true, queued.run_ms);
+            let tier = queued.request.tier;
+            let work_ms = self.queue.work_ahead_ms(now, tier, true) + queued.run_ms;
+            let wait = self.estimate_wait(now, &queued.request, queued.run_ms, work_ms);
             effects.push(Effect {
                 run: queued.request.run,
                 decision: SlotDecision::Refused(refuse(self.refusal_reason(), wait)),
             });
             self.refused_waiting.push(queued.request);
         }
+        if !self.is_large() || now >= self.swept_at + RUN_SWEEP_INTERVAL {
+            self.forget_old_runs(now);
+        }
+    }
+
+    fn forget_old_runs(&mut self, now: MonotonicTime) {
+        self.swept_at = now;
         for upstream in &mut self.upstreams {
             upstream.forget_old_runs(now);
         }
+        let upstreams = &self.upstreams;
+        self.run_index
+            .retain(|run, index| upstreams[*index].runs.contains_key(run));
         self.unlisted_runs
             .retain(|_, run| now < run.end_expected_at + run.request.time_left);
     }
@@ -123,28 +137,26 @@
         }
     }
 
-    /// Estimates how long a new request waits for a slot.
+    /// Estimates how long a request waits for a slot that it needs for `run_ms`. `work_ms` is the work that is served up
+    /// to and including the request itself, whose own work stands for the time until the next slot becomes free.
     pub(super) fn estimate_wait(
-        &mut self,
+        &self,
         now: MonotonicTime,
         request: &SlotRequest,
-        is_late: bool,
-        own_run_ms: f64,
+        run_ms: f64,
+        work_ms: f64,
     ) -> Duration {
-        let tier = request.tier;
         let slots: f64 = self
             .upstreams
             .iter()
             .filter(|upstream| upstream.is_usable(now) && self.takes_main_traffic(upstream))
             .filter(|upstream| request.permits(&upstream.entry.data_centre))
-            .map(|upstream| upstream.effective_slots(own_run_ms))
+            .map(|upstream| upstream.effective_slots(run_ms))
             .sum();
         if slots == 0.0 {
             return self.shortest_back_off(now);
         }
-        // The request's own work stands for the time until the next slot becomes free, which is a fraction of a run.
-        let work_ms = self.queue.work_ahead_ms(now, tier, is_late) + own_run_ms;
-        let above = self.arrivals.slots_above(now, tier);
+        let above = self.arrivals.slots_above(now, request.tier);
         predicted_wait(work_ms, slots, above)
     }
 
--- a/crates/dragonflystep_dispatch/src/pool/rolling.rs
+++ b/crates/dragonflystep_dispatch/src/pool/rolling.rs
@@ -4,7 +4,10 @@
     super::ServicePool,
     crate::{
         ids::MonotonicTime,
-        limits::{FIRST_EVENT_BASE_MS, OVERDUE_AFTER, ROLLOUT_CANARY_UPSTREAMS},
+        limits::{
+            FIRST_EVENT_BASE_MS, MEAN_SPEED_LIFETIME_PER_UPSTREAM, OVERDUE_AFTER,
+            ROLLOUT_CANARY_UPSTREAMS,
+        },
         messages::{RunOutcome, RunReport, SlotRequest},
         rollout::{
             Rollout, RolloutInputs, RolloutOrder, RolloutPhase, RolloutRules, RolloutStep,
@@ -160,13 +163,23 @@
         next.map(|(index, _)| *index).collect()
     }
 
-    /// Returns the mean speed of the upstreams that take requests other than canaries.
-    pub(super) fn mean_speed(&self) -> Speed {
+    /// Returns the mean speed of the upstreams that take requests other than canaries. That of a large pool changes
+    /// little from one request to the next and is computed only now and then.
+    pub(super) fn mean_speed(&self, now: MonotonicTime) -> Speed {
+        let lifetime = MEAN_SPEED_LIFETIME_PER_UPSTREAM * self.upstreams.len() as u32;
+        if let Some((at, mean)) = self.mean_speed.get()
+            && self.is_large()
+            && now < at + lifetime
+        {
+            return mean;
+        }
         let main = self
             .upstreams
             .iter()
             .filter(|upstream| self.takes_main_traffic(upstream));
-        Speed::mean(main.map(|upstream| &upstream.speed))
+        let mean = Speed::mean(main.map(|upstream| &upstream.speed));
+        self.mean_speed.set(Some((now, mean)));
+        mean
     }
 
     /// Adds the outcome and duration of a run to the evidence about its version.
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -30,12 +30,8 @@
 impl ServicePool {
     /// Records the load that an upstream reported.
     pub(crate) fn record_load(&mut self, now: MonotonicTime, load: &UpstreamLoad) {
-        let upstream = self
-            .upstreams
-            .iter_mut()
-            .find(|upstream| upstream.entry.id == load.upstream);
-        if let Some(upstream) = upstream {
-            upstream.record_load(now, load);
+        if let Some(&index) = self.upstream_index.get(&load.upstream) {
+            self.upstreams[index].record_load(now, load);
         }
     }
 
@@ -45,19 +41,16 @@
         now: MonotonicTime,
         report: &RunReport,
     ) -> Option<FinishedRun> {
-        let Some(index) = self
-            .upstreams
-            .iter()
-            .position(|upstream| upstream.runs.contains_key(&report.run))
-        else {
+        let Some(index) = self.run_index.remove(&report.run) else {
             return self
                 .unlisted_runs
                 .remove(&report.run)
                 .map(FinishedRun::from);
         };
-        let may_back_off = self.may_back_off(index);
+        let may_back_off = report.outcome.has_failed() && self.may_back_off(index);
         let upstream = &mut self.upstreams[index];
         let run = upstream.runs.remove(&report.run)?;
+        self.search.note_freed(index);
         upstream.record_outcome(now, report.outcome, may_back_off);
         if report.outcome == RunOutcome::Unreachable {
             self.assume_restarted(now, index);
@@ -102,11 +95,7 @@
 
     /// Counts an active run that another owner granted.
     pub(crate) fn adopt_run(&mut self, now: MonotonicTime, active_run: ActiveRun) {
-        let Some(index) = self
-            .upstreams
-            .iter()
-            .position(|upstream| upstream.entry.id == active_run.upstream)
-        else {
+        let Some(&index) = self.upstream_index.get(&active_run.upstream) else {
             return;
         };
         let started_at = active_run.started_at(now);
--- a/crates/dragonflystep_dispatch/src/pool/summary.rs
+++ b/crates/dragonflystep_dispatch/src/pool/summary.rs
@@ -2,9 +2,15 @@
 
 use {
     super::ServicePool,
-    crate::ids::{MonotonicTime, ServiceName, UpstreamId},
+    crate::{
+        ids::{MonotonicTime, ServiceName, UpstreamId},
+        upstream::LiveUpstream,
+    },
 };
 
+/// Largest number of upstreams in a summary; about 8 KB in the log.
+const MAX_SUMMARIZED: usize = 200;
+
 /// An owner's view of one upstream, for logs and metrics.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamSummary {
@@ -33,14 +39,23 @@
     pub waiting: usize,
     /// Number of slots granted since the last summary.
     pub granted_slots: u64,
-    /// The upstreams of the service.
+    /// Upstreams that were examined to place requests since the last summary.
+    pub examined: u64,
+    /// Number of upstreams of the service.
+    pub upstream_count: usize,
+    /// The upstreams of the service; of a large one, up to [`MAX_SUMMARIZED`] that have runs or are not usable.
     pub upstreams: Vec<UpstreamSummary>,
 }
 
 impl ServicePool {
     /// Summarizes the service, and resets the number of granted slots.
     pub(crate) fn summary(&mut self, now: MonotonicTime, service: ServiceName) -> PoolSummary {
-        let upstreams = self.upstreams.iter().map(|upstream| UpstreamSummary {
+        let is_large = self.upstreams.len() > MAX_SUMMARIZED;
+        let is_listed = |upstream: &&LiveUpstream| {
+            !is_large || !upstream.runs.is_empty() || !upstream.is_usable(now)
+        };
+        let listed = self.upstreams.iter().filter(is_listed).take(MAX_SUMMARIZED);
+        let upstreams = listed.map(|upstream| UpstreamSummary {
             id: upstream.entry.id.clone(),
             running: upstream.runs.len(),
             is_usable: upstream.is_usable(now),
@@ -53,6 +68,8 @@
             service,
             waiting: self.queue.len(),
             granted_slots: std::mem::take(&mut self.granted_slots),
+            examined: self.search.take_examined(),
+            upstream_count: self.upstreams.len(),
             upstreams: upstreams.collect(),
         }
     }
--- a/crates/dragonflystep_dispatch/src/queue.rs
+++ b/crates/dragonflystep_dispatch/src/queue.rs
@@ -79,6 +79,10 @@
         self.waiting.is_empty()
     }
 
+    pub(crate) fn find(&self, run: RunId) -> Option<&QueuedRequest> {
+        self.iter().find(|queued| queued.request.run == run)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &QueuedRequest> {
         self.waiting.iter()
     }
--- a/crates/dragonflystep_dispatch/src/refusal.rs
+++ b/crates/dragonflystep_dispatch/src/refusal.rs
@@ -31,10 +31,9 @@
 }
 
 impl ArrivalRate {
-    fn decay(&mut self, now: MonotonicTime) {
+    fn work_ms_at(&self, now: MonotonicTime) -> f64 {
         let passed_s = now.saturating_sub(self.at).as_secs_f64();
-        self.work_ms *= (-passed_s / ARRIVAL_WINDOW_S).exp();
-        self.at = now;
+        self.work_ms * (-passed_s / ARRIVAL_WINDOW_S).exp()
     }
 }
 
@@ -45,17 +44,14 @@
             work_ms: 0.0,
             at: now,
         });
-        rate.decay(now);
-        rate.work_ms += work_ms;
+        rate.work_ms = rate.work_ms_at(now) + work_ms;
+        rate.at = now;
     }
 
     /// Returns the number of slots that arriving work of the tiers above `tier` keeps busy.
-    pub(crate) fn slots_above(&mut self, now: MonotonicTime, tier: Tier) -> f64 {
-        let mut work_ms = 0.0;
-        for (_, rate) in self.tiers.range_mut(..tier) {
-            rate.decay(now);
-            work_ms += rate.work_ms;
-        }
+    pub(crate) fn slots_above(&self, now: MonotonicTime, tier: Tier) -> f64 {
+        let above = self.tiers.range(..tier);
+        let work_ms: f64 = above.map(|(_, rate)| rate.work_ms_at(now)).sum();
         work_ms / (ARRIVAL_WINDOW_S * 1e3)
     }
 }
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -317,9 +317,11 @@
         outcome: RunOutcome,
         may_back_off: bool,
     ) {
-        let has_failed = match outcome {
-            RunOutcome::Completed => false,
-            RunOutcome::Failed | RunOutcome::Broken | RunOutcome::Unreachable => true,
+        match outcome {
+            RunOutcome::Completed
+            | RunOutcome::Failed
+            | RunOutcome::Broken
+            | RunOutcome::Unreachable => {}
             RunOutcome::Misdirected => {
                 // The address now belongs to another upstream; the registry will show that shortly.
                 self.back_off_until = now + MAX_BACK_OFF;
@@ -330,7 +332,8 @@
                 return;
             }
             RunOutcome::Cancelled | RunOutcome::Withheld => return,
-        };
+        }
+        let has_failed = outcome.has_failed();
         let sample = if has_failed { 1.0 } else { 0.0 };
         self.failure_rate += (sample - self.failure_rate) * MEAN_WEIGHT;
         if !has_failed {
