Push small changes of all lists, and open no connection for them

Cause: a change of the catalogue was never sent along with a gossip exchange, so that each node opened a connection and fetched it: 972 nodes within the second after the first change on the fleet, from the two preferred owners, who then answered slot requests late. A called node also fetched what its caller was about to push. To find what a partner lacks, a node went through the whole list in each exchange.

Few changes of the catalogue ride on exchanges as those of the registry and of the list of nodes do; a called node waits for its caller's push before it fetches; a list keeps its entries ordered by the version of their last change.

--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -28,6 +28,9 @@
 /// fetched.
 pub(crate) const MAX_PIGGYBACKED: usize = 16;
 
+/// Time within which a node that called pushes the changes that the called node lacks; several round trips.
+pub(crate) const PUSH_WAIT: Duration = Duration::from_millis(200);
+
 /// Size in bytes of the pieces in which a list is fetched: 55 ms of a link at 3 Mbit/s, so that gossip exchanges
 /// get through between two pieces.
 pub(crate) const LIST_PIECE_BYTES: usize = 20 << 10;
--- a/crates/dragonflystep_edge/src/list_fetch.rs
+++ b/crates/dragonflystep_edge/src/list_fetch.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        limits::{LIST_PIECE_BYTES, LIST_PIECE_TIMEOUT, MAX_CACHED_CHANGES, MAX_LIST_PIECE_TRIES},
+        limits::{
+            LIST_PIECE_BYTES, LIST_PIECE_TIMEOUT, MAX_CACHED_CHANGES, MAX_LIST_PIECE_TRIES,
+            PUSH_WAIT,
+        },
         node::Node,
         versioned_list::{Changes, ChangesError, ListEntry, VersionedList},
     },
@@ -13,7 +16,7 @@
         collections::VecDeque,
         rc::Rc,
     },
-    tokio::task::spawn_local,
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// The lists that nodes fetch from one another.
@@ -234,6 +237,45 @@
     }
 }
 
+impl Node {
+    /// The newest version of the catalogue that another node announced; 0 if there is none.
+    pub fn announced_catalogue_version(&self) -> u64 {
+        self.list_fetches.catalogue.newest_announced.get()
+    }
+
+    /// Records which newer lists the node that sent `theirs` has; returns whether there are any.
+    fn note_newer_lists(&self, theirs: &Digest) -> bool {
+        let mut is_stale = false;
+        for list in LISTS {
+            let version = version_of(theirs, list);
+            if self.with_list(list, |known| known.is_stale_against(version)) {
+                let now = self.owner.now();
+                self.list_fetches.of(list).note_announced(now, version);
+                is_stale = true;
+            }
+        }
+        is_stale
+    }
+
+    /// Time without progress towards a newer catalogue that another node announced; zero if there is none.
+    pub fn catalogue_stall(&self) -> MonotonicTime {
+        let now = self.owner.now();
+        self.list_fetches.catalogue.time_without_progress(now)
+    }
+}
+
+/// Fetches each list from the node that called with `theirs` if it has a newer one and has not pushed the changes after
+/// [`PUSH_WAIT`].
+///
+/// A small change is known to all nodes within one round of exchanges. If each of them opened a connection to fetch it,
+/// the preferred owners, which all nodes call, would serve as many fetches as there are nodes.
+pub(crate) async fn fetch_unless_pushed(node: Rc<Node>, theirs: Digest) {
+    if node.note_newer_lists(&theirs) {
+        sleep(PUSH_WAIT).await;
+        fetch_if_newer(&node, &theirs);
+    }
+}
+
 /// Fetches each list from the node that sent `theirs` if that node has a newer one and no fetch of the list is
 /// running.
 ///
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -36,6 +36,12 @@
         digest.unavailable = unavailable;
         digest.notices = self.owner.notices();
         digest.evacuations = self.evacuations_for(Some(theirs));
+        let catalogue = self.views.catalogue_list();
+        if let Some(changes) =
+            catalogue.few_changes_since(theirs.catalogue_version, MAX_PIGGYBACKED)
+        {
+            digest.catalogue = to_json(&changes, "catalogue");
+        }
         let registry = self.views.registry_list();
         if let Some(changes) = registry.few_changes_since(theirs.registry_version, MAX_PIGGYBACKED)
         {
@@ -62,9 +68,10 @@
         digest
     }
 
-    /// Whether this node has a newer registry or list of nodes than the one that answered with `theirs`.
+    /// Whether this node has a newer list than the one that answered with `theirs`.
     pub(crate) fn has_newer_lists_than(&self, theirs: &Digest) -> bool {
-        self.views.registry_list().announced_version() > theirs.registry_version
+        self.views.catalogue_list().announced_version() > theirs.catalogue_version
+            || self.views.registry_list().announced_version() > theirs.registry_version
             || self.members.list().announced_version() > theirs.members_version
     }
 
@@ -105,6 +112,9 @@
             .set_reports_us_unavailable(&theirs.node, &theirs.unavailable);
         self.apply_rollouts(&theirs.rollouts, &theirs.node);
         self.apply_digest_evacuations(theirs);
+        if let Some(changes) = from_json(&theirs.catalogue, "catalogue", &theirs.node) {
+            self.apply_catalogue_changes(changes, &theirs.node);
+        }
         if let Some(changes) = from_json(&theirs.members, "list of nodes", &theirs.node) {
             self.apply_member_changes(changes, &theirs.node);
         }
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        exchange::exchange_with, list_fetch::fetch_if_newer, node::Node, owner::cancelled_report,
+        exchange::exchange_with, list_fetch::fetch_unless_pushed, node::Node,
+        owner::cancelled_report,
     },
     dragonflystep_dispatch::{
         ActiveRun, Event, NodeName, RunId, RunReport, ServiceName, SlotDecision, SlotRequest,
@@ -115,7 +116,8 @@
     fn exchange(&self, digest: Digest) -> Digest {
         self.note_peer(&digest.node);
         self.node.handle_exchange_call(&digest);
-        fetch_if_newer(&self.node, &digest);
+        // The caller pushes few changes itself once it has the answer.
+        spawn_local(fetch_unless_pushed(self.node.clone(), digest.clone()));
         if self.node.members.has_failed(&digest.node) {
             // The caller is running. Whether it can be reached is tried at once, so that both nodes become visible
             // to each other.
--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -8,7 +8,7 @@
     crate::list_version::supersedes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
-        collections::{BTreeMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashSet},
         io::Read,
         sync::Arc,
     },
@@ -86,7 +86,12 @@
 pub(crate) struct VersionedList<T> {
     version: u64,
     stored: BTreeMap<Arc<str>, StoredEntry<T>>,
+    /// The keys of all entries, by the version in which they last changed. Most questions are for the last few changes.
+    changed: BTreeSet<(u64, Arc<str>)>,
+    /// Versions in which entries were removed.
     tombstones: BTreeMap<Arc<str>, u64>,
+    /// The keys of all tombstones, by their versions.
+    removed: BTreeSet<(u64, Arc<str>)>,
     /// Removals up to this version may have been forgotten, so a node with an older version gets the whole list.
     forgotten_through: u64,
     /// Wrapping sum of the digests of the entries.
@@ -99,7 +104,9 @@
         Self {
             version: 0,
             stored: BTreeMap::new(),
+            changed: BTreeSet::new(),
             tombstones: BTreeMap::new(),
+            removed: BTreeSet::new(),
             forgotten_through: 0,
             digest: 0,
             needs_full_list: false,
@@ -175,16 +182,13 @@
         } else {
             their_version
         };
-        let changed = self
-            .stored
-            .values()
-            .filter(|stored| stored.changed_at > base_version);
-        let removed = self.tombstones.iter().filter(|(_, at)| **at > base_version);
+        let changed = keys_after(&self.changed, base_version);
+        let stored = changed.filter_map(|key| self.stored.get(key));
         Some(Changes {
             base_version,
             version: self.version,
-            set: changed.map(|stored| stored.entry.clone()).collect(),
-            removed: removed.map(|(key, _)| key.clone()).collect(),
+            set: stored.map(|stored| stored.entry.clone()).collect(),
+            removed: keys_after(&self.removed, base_version).cloned().collect(),
             digest: self.digest,
         })
     }
@@ -196,10 +200,13 @@
         if their_version >= self.version || self.needs_full_list {
             return None;
         }
-        let is_full_list_needed = their_version < self.forgotten_through;
-        let changed_at = self.stored.values().map(|stored| stored.changed_at);
-        let changed = changed_at.filter(|at| is_full_list_needed || *at > their_version);
+        let base_version = if their_version < self.forgotten_through {
+            0
+        } else {
+            their_version
+        };
         // Counting stops at one more than permitted.
+        let changed = keys_after(&self.changed, base_version);
         let is_few = changed.take(limit + 1).count() <= limit;
         is_few.then(|| self.changes_since(their_version))?
     }
@@ -227,15 +234,16 @@
         for key in removed_keys {
             if let Some(stored) = self.stored.remove(key) {
                 self.digest = self.digest.wrapping_sub(stored.digest);
+                self.changed.remove(&(stored.changed_at, key.clone()));
                 self.tombstones.insert(key.clone(), version);
+                self.removed.insert((version, key.clone()));
             }
         }
         for entry in set {
             self.set(version, entry);
         }
         while self.tombstones.len() > MAX_TOMBSTONES {
-            let oldest = self.tombstones.iter().min_by_key(|(_, at)| **at);
-            let Some((key, at)) = oldest.map(|(key, at)| (key.clone(), *at)) else {
+            let Some((at, key)) = self.removed.pop_first() else {
                 return;
             };
             self.tombstones.remove(&key);
@@ -254,7 +262,13 @@
             .digest
             .wrapping_sub(before.map_or(0, |stored| stored.digest))
             .wrapping_add(digest);
-        self.tombstones.remove(&key);
+        if let Some(before) = before {
+            self.changed.remove(&(before.changed_at, key.clone()));
+        }
+        if let Some(at) = self.tombstones.remove(&key) {
+            self.removed.remove(&(at, key.clone()));
+        }
+        self.changed.insert((version, key.clone()));
         let stored = StoredEntry {
             entry,
             changed_at: version,
@@ -264,6 +278,13 @@
     }
 }
 
+/// The keys of the elements with a version above `version`.
+fn keys_after(keys: &BTreeSet<(u64, Arc<str>)>, version: u64) -> impl Iterator<Item = &Arc<str>> {
+    let first: Arc<str> = "".into();
+    let after = keys.range((version.saturating_add(1), first)..);
+    after.map(|(_, key)| key)
+}
+
 fn digest_of<T: Serialize>(entry: &T) -> u64 {
     match serde_json::to_vec(entry) {
         Ok(bytes) => xxh3_64(&bytes),
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -87,8 +87,8 @@
 struct Digest {
   node @0 :Text;
   catalogueVersion @1 :UInt64;
-  # Not used: older nodes send the catalogue document in this field.
-  unusedCatalogue @2 :Data;
+  # Encoded changes of the catalogue.
+  catalogue @2 :Data;
   registryVersion @3 :UInt64;
   registry @4 :Data;
   membersVersion @5 :UInt64;
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -316,6 +316,7 @@
         unavailable,
         out.reborrow().init_unavailable(unavailable.len() as u32),
     );
+    out.set_catalogue(&digest.catalogue);
     if let Some(evacuations) = &digest.evacuations {
         let mut entry = out.reborrow().init_evacuations();
         entry.set_version(evacuations.version);
@@ -336,6 +337,7 @@
     Ok(Digest {
         node: input.get_node()?.to_str()?.into(),
         catalogue_version: input.get_catalogue_version(),
+        catalogue: input.get_catalogue()?.to_vec(),
         evacuations: if input.has_evacuations() {
             let evacuations = input.get_evacuations()?;
             Some(Evacuations {
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -84,6 +84,8 @@
     pub node: NodeName,
     /// Version of the sender's catalogue; 0 if it has none or requests the whole catalogue.
     pub catalogue_version: u64,
+    /// Encoded changes of the catalogue; sent only if the receiver's version is older and the changes are few.
+    pub catalogue: Vec<u8>,
     /// The evacuated data centres; absent if the sender knows of none and has seen none in the receiver's digest.
     pub evacuations: Option<Evacuations>,
     /// Version of the sender's registry; 0 if it has none or requests the whole registry.
