Count only contacts as visible until a node that was cut off reaches its partners

Cause: when one other node answered after all were silent, a node counted all nodes that it had not tried again as visible. Three nodes that are cut off together so believed that they see 50 of 64, a majority, and noticed one failure after the other.

Traced in virtual time: a cut of 3 of 64, node 46 sees 1 for 4.5 s, then 57, 50 and 47 while it is still cut off. Until a preferred owner or half of its direct partners is in touch, a node now counts those that called it or answered lately.

--- a/crates/dragonflystep_edge/src/members/reachability.rs
+++ b/crates/dragonflystep_edge/src/members/reachability.rs
@@ -3,7 +3,9 @@
 
 use {
     super::{Members, PeerState},
-    crate::limits::{MIN_OWNER_CUT_OFF, RECENT_CONTACT_WINDOW, SMALL_SYSTEM_NODES},
+    crate::limits::{
+        MAX_PEER_SILENCE, MIN_OWNER_CUT_OFF, RECENT_CONTACT_WINDOW, SMALL_SYSTEM_NODES,
+    },
     dragonflystep_dispatch::{MonotonicTime, NodeName},
     dragonflystep_peer::PeerError,
 };
@@ -110,6 +112,18 @@
         suspicions.contacts_within(now, RECENT_CONTACT_WINDOW) + 1
     }
 
+    /// Whether a preferred owner or half of the direct partners called this node or answered it lately.
+    pub(crate) fn is_in_touch_with_partners(&self, now: MonotonicTime) -> bool {
+        let suspicions = self.suspicions.borrow();
+        let is_in_touch =
+            |node: &&NodeName| suspicions.has_contact_within(now, node, MAX_PEER_SILENCE);
+        let partners = self.direct_partners();
+        let in_touch = partners.iter().filter(is_in_touch).count();
+        let preferred_owners = self.preferred_owners();
+        let reaches_owner = preferred_owners.iter().any(|owner| is_in_touch(&owner));
+        reaches_owner || in_touch * 2 >= partners.len()
+    }
+
     /// Records the suspicions of a calling node. They are accepted only while all nodes call this one.
     pub(crate) fn apply_caller_suspicions(
         &self,
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -86,6 +86,8 @@
     runs_started: Cell<u32>,
     /// When another node last answered a gossip exchange.
     peer_answered_at: Cell<MonotonicTime>,
+    /// Whether this node was cut off from all others and has not reached enough of its partners since.
+    is_reconnecting: Cell<bool>,
     /// When the platform last answered a call of this node.
     platform_answered_at: Cell<MonotonicTime>,
     /// When the platform last answered this node, or another one that reported it in a gossip exchange.
@@ -136,6 +138,7 @@
             incarnation,
             runs_started: Cell::new(0),
             peer_answered_at: Cell::new(Duration::ZERO),
+            is_reconnecting: Cell::new(false),
             platform_answered_at: Cell::new(Duration::ZERO),
             platform_heard_at: Cell::new(Duration::ZERO),
             platform_up_since: Cell::new(Duration::ZERO),
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -139,11 +139,16 @@
         // Nodes that have not been tried count as visible, unless none of those that were tried answers. Otherwise
         // nodes that are each cut off from all others would each count themselves to the majority and grant whole
         // quotas.
+        let now = self.owner.now();
         let sees_others = self.members.has_discovered_peers() && !self.is_cut_off_from_peers();
-        let visible = if sees_others {
-            self.members.mutually_visible_count(self.owner.now())
-        } else {
-            1
+        let is_reconnecting =
+            self.is_reconnecting.get() && !self.members.is_in_touch_with_partners(now);
+        self.is_reconnecting.set(!sees_others || is_reconnecting);
+        let visible = match (sees_others, is_reconnecting) {
+            (false, _) => 1,
+            // Another node answers again, but it may have been cut off together with this one.
+            (true, true) => self.members.recent_contact_count(now),
+            (true, false) => self.members.mutually_visible_count(now),
         };
         if let Some(before) = self.owner.set_visibility(Visibility { visible, known }) {
             let change = if visible < before.visible {
--- a/crates/dragonflystep_edge/src/suspicion.rs
+++ b/crates/dragonflystep_edge/src/suspicion.rs
@@ -135,6 +135,17 @@
             || now < self.owner_suspects_until && self.owner_suspects.contains(node)
     }
 
+    /// Whether a node called this one or answered it within the last `window`.
+    pub(crate) fn has_contact_within(
+        &self,
+        now: MonotonicTime,
+        node: &str,
+        window: Duration,
+    ) -> bool {
+        let contacted_at = self.contacted_at.get(node);
+        contacted_at.is_some_and(|at| now.saturating_sub(*at) <= window)
+    }
+
     /// Number of nodes that called this one or answered it within the last `window`.
     pub(crate) fn contacts_within(&self, now: MonotonicTime, window: Duration) -> usize {
         let contacted_at = self.contacted_at.values();
