--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -171,6 +171,11 @@
         self.views.catalogue_version()
     }
 
+    /// Whether the whole system starts for the first time.
+    pub fn is_first_start(&self) -> bool {
+        self.settings.is_first_start
+    }
+
     /// How many of the nodes that may be running are visible to this one.
     pub fn visibility(&self) -> Visibility {
         self.owner.visibility()
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -26,6 +26,15 @@
         if is_small || !self.is_ready() || self.is_cut_off_from_peers() {
             return true;
         }
+        !self.leaves_platform_to_others()
+    }
+
+    /// Whether this node leaves following the platform's documents to other nodes, as far as the list of nodes decides:
+    /// the system is large, and this node is neither one of the followers nor a preferred owner.
+    pub fn leaves_platform_to_others(&self) -> bool {
+        if self.members.listed_count() <= SMALL_SYSTEM_NODES {
+            return false;
+        }
         // The followers are the same nodes for as long as they are visible, because names and CPU shares decide the
         // ranking. The platform may refuse all of them while it serves other nodes. Without more followers, no node
         // would then learn which upstreams leave.
@@ -34,7 +43,7 @@
         } else {
             PLATFORM_FOLLOWERS
         };
-        self.is_among_first(FOLLOWERS_KEY, followers) || self.is_preferred_owner()
+        !self.is_among_first(FOLLOWERS_KEY, followers) && !self.is_preferred_owner()
     }
 
     /// Whether other nodes learn from this one whether the platform answers. In a large system, where few nodes
