Weigh a run's duration more while slots are plentiful

A twentieth of the run's duration counts for a placement, since more makes requests at services with few slots late in a burst.

While less than a quarter of a service's slots is taken, up to 0.3 of the duration counts.

Test: the upstream that ends a long answer sooner is chosen although the other one sends its first event sooner; it fails without the change.

--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -62,6 +62,14 @@
 /// engines with few slots are late.
 pub(crate) const RUN_COST_SHARE: f64 = 0.05;
 
+/// Share of the slots that may be taken while slots count as plentiful.
+pub(crate) const PLENTIFUL_SLOTS_SHARE: f64 = 0.25;
+
+/// Share that is added to [`RUN_COST_SHARE`] at a service without any runs; it falls to zero where slots are no longer
+/// plentiful. While slots are plentiful, a long generation goes to a fast upstream, since on a slow one it may not end before
+/// its caller gives up.
+pub(crate) const IDLE_RUN_COST_SHARE: f64 = 0.25;
+
 /// Placement cost of an upstream in another data centre, in milliseconds: the round trip, and a charge for the
 /// traffic between data centres.
 pub(crate) const OTHER_DATA_CENTRE_COST_MS: f64 = 4.0;
--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -11,7 +11,7 @@
         ids::{MonotonicTime, node_incarnation_of},
         limits::{
             FAILURE_PENALTY_MS, FIRST_EVENT_BASE_MS, MAX_PREDICTED_PAUSE_SHARE,
-            MINORITY_COST_SPREAD, OTHER_DATA_CENTRE_COST_MS, PREFILL_CHUNK_TOKENS, RUN_COST_SHARE,
+            MINORITY_COST_SPREAD, OTHER_DATA_CENTRE_COST_MS, PREFILL_CHUNK_TOKENS,
         },
         messages::SlotRequest,
         speed::RouteAverages,
@@ -45,6 +45,8 @@
     pub(crate) tokens_per_event: u32,
     /// Whether costs are varied pseudo-randomly, so that requests spread over upstreams of similar cost.
     pub(crate) spread_costs: bool,
+    /// Share of a run's predicted duration that is added to its cost.
+    pub(crate) run_cost_share: f64,
 }
 
 /// Returns the index of the best of the `free` upstreams for `request`, with its prediction.
@@ -97,7 +99,7 @@
     let run_ms = to_ms(prediction.end_at.saturating_sub(now));
     let load = upstream.runs.len() as f64 / f64::from(upstream.slots());
     prediction.cost_ms = first_ms
-        + run_ms * RUN_COST_SHARE
+        + run_ms * model.run_cost_share
         + load * upstream.speed.ms_per_event
         + upstream.failure_rate * FAILURE_PENALTY_MS;
     if upstream.requested_back_off.awaits_acceptance() {
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -41,6 +41,8 @@
     pub(crate) retries: RetryBudget,
     engine: Option<Engine>,
     upstreams: Vec<LiveUpstream>,
+    /// Slots of all listed upstreams.
+    total_slots: u32,
     /// Index of each listed upstream, by its id.
     upstream_index: HashMap<UpstreamId, usize>,
     /// Index of the upstream of each run.
@@ -126,6 +128,7 @@
 
     fn rebuild_indices(&mut self) {
         self.search.reset();
+        self.total_slots = self.upstreams.iter().map(LiveUpstream::slots).sum();
         self.mean_speed.set(None);
         self.upstream_index.clear();
         self.run_index.clear();
--- a/crates/dragonflystep_dispatch/src/pool/candidates.rs
+++ b/crates/dragonflystep_dispatch/src/pool/candidates.rs
@@ -110,9 +110,8 @@
         let Some(share) = self.slot_share else {
             return false;
         };
-        let slots: u32 = self.upstreams.iter().map(LiveUpstream::slots).sum();
         let running = self.run_index.len();
-        running as f64 >= (f64::from(slots) * share).ceil()
+        running as f64 >= (f64::from(self.total_slots) * share).ceil()
     }
 
     /// Adds an upstream to those with free slots, or takes note of its speed if it is full.
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -5,7 +5,9 @@
     crate::{
         dispatcher::Effect,
         ids::MonotonicTime,
-        limits::CLEARLY_FASTER_RATIO,
+        limits::{
+            CLEARLY_FASTER_RATIO, IDLE_RUN_COST_SHARE, PLENTIFUL_SLOTS_SHARE, RUN_COST_SHARE,
+        },
         messages::{Grant, SlotDecision, SlotRequest},
         placement::{Prediction, ServiceModel, choose},
         queue::QueuedRequest,
@@ -35,9 +37,16 @@
             averages: &self.averages,
             tokens_per_event: self.engine.map_or(1, |engine| engine.tokens_per_event),
             spread_costs: self.slot_share.is_some(),
+            run_cost_share: RUN_COST_SHARE + IDLE_RUN_COST_SHARE * self.idle_share(),
         }
     }
 
+    /// Returns 1 for a service without any runs, falling to 0 where [`PLENTIFUL_SLOTS_SHARE`] of the slots is taken.
+    fn idle_share(&self) -> f64 {
+        let taken = self.run_index.len() as f64 / f64::from(self.total_slots.max(1));
+        (1.0 - taken / PLENTIFUL_SLOTS_SHARE).max(0.0)
+    }
+
     /// Chooses an upstream for a queued request, or lets it wait for a better one.
     pub(super) fn choose_for(
         &self,
--- a/crates/dragonflystep_dispatch/tests/decision_cost.rs
+++ b/crates/dragonflystep_dispatch/tests/decision_cost.rs
@@ -6,11 +6,11 @@
 mod support;
 
 use {
-    dragonflystep_dispatch::{Dispatcher, Event, RunId, RunOutcome, SlotDecision},
+    dragonflystep_dispatch::{Dispatcher, Event, RunId, RunOutcome, SlotDecision, SlotRequest},
     std::{collections::VecDeque, time::Duration},
     support::{
         Random, dispatcher, plain_request,
-        slot_requests::{START, run_ended},
+        slot_requests::{START, granted_upstream, request_slot, run_ended},
     },
 };
 
@@ -147,3 +147,35 @@
     let share = f64::from(to_fast) / f64::from(total / 2);
     assert!(share > 0.9, "{share}");
 }
+
+/// Name of the upstream that an otherwise idle owner chooses for a request with a long answer.
+///
+/// Of its two upstreams, `engine-0` sends the first event soon and takes ten times as long as `engine-1` for the rest.
+fn choice_for_a_long_answer() -> String {
+    let mut owner = dispatcher(2, 40);
+    let mut run = 0;
+    for (index, first_ms, end_ms) in [(0, 40, 6_000), (1, 500, 920)] {
+        for _ in 0..40 {
+            run += 1;
+            let other = support::upstream(1 - index, SLOTS).id;
+            let request = SlotRequest {
+                excluded_upstreams: vec![other],
+                ..plain_request(run, 0)
+            };
+            granted_upstream(request_slot(&mut owner, START, request));
+            let Event::RunEnded(mut report) = run_ended(run, RunOutcome::Completed) else {
+                unreachable!("the helper returns a report");
+            };
+            report.to_first_event = Some(Duration::from_millis(first_ms));
+            report.to_end = Duration::from_millis(end_ms);
+            owner.reduce(START, Event::RunEnded(report));
+        }
+    }
+    let later = START + Duration::from_millis(700);
+    granted_upstream(request_slot(&mut owner, later, plain_request(run + 1, 0)))
+}
+
+#[test]
+fn a_long_answer_goes_to_the_upstream_that_ends_it_sooner_while_slots_are_plentiful() {
+    assert_eq!(choice_for_a_long_answer(), "engine-1");
+}
