Place no requests at an engine beyond its memory

Cause: an engine got as many requests as it has slots, whatever their size; one that runs out of memory preempts runs and reads their prompts again, or crashes. Prompts and expected answers of its runs now stay within the memory that the catalogue states for its service.

The new test fails without the change: two prompts of 400,000 tokens at an engine for 700,000.

--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -43,6 +43,8 @@
 pub(crate) struct ServiceModel<'a> {
     pub(crate) averages: &'a RouteAverages,
     pub(crate) tokens_per_event: u32,
+    /// Memory of an engine for prompts and answers, in tokens; absent for a plain service.
+    pub(crate) memory_tokens: Option<u64>,
     /// Whether costs are varied pseudo-randomly, so that requests spread over upstreams of similar cost.
     pub(crate) spread_costs: bool,
     /// Share of a run's predicted duration that is added to its cost.
@@ -69,6 +71,7 @@
         if is_backed_off
             || request.excluded_upstreams.contains(&upstream.entry.id)
             || !request.permits(&upstream.entry.data_centre)
+            || exceeds_memory(request, upstream, model)
         {
             continue;
         }
@@ -190,6 +193,22 @@
     pause_ms > to_ms(strictest_limit) * MAX_PREDICTED_PAUSE_SHARE
 }
 
+/// Whether the engine's memory does not hold the request beside its runs. An engine that runs out of memory preempts runs
+/// and reads their prompts again, or crashes.
+fn exceeds_memory(request: &SlotRequest, upstream: &LiveUpstream, model: ServiceModel<'_>) -> bool {
+    let Some(memory_tokens) = model.memory_tokens.filter(|_| !upstream.runs.is_empty()) else {
+        return false;
+    };
+    let requests = upstream.runs.values().map(|run| &run.request);
+    let tokens: u64 = requests
+        .chain([request])
+        .map(|request| {
+            u64::from(request.size.prompt_tokens) + u64::from(request.size.output_tokens)
+        })
+        .sum();
+    tokens > memory_tokens
+}
+
 /// Returns a pseudo-random number from 0 to 1 that is the same each time for a run and an upstream.
 fn random_fraction(request: &SlotRequest, upstream: &LiveUpstream) -> f64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -36,6 +36,7 @@
         ServiceModel {
             averages: &self.averages,
             tokens_per_event: self.engine.map_or(1, |engine| engine.tokens_per_event),
+            memory_tokens: self.engine.map(|engine| engine.cache_tokens),
             spread_costs: self.slot_share.is_some(),
             run_cost_share: RUN_COST_SHARE + IDLE_RUN_COST_SHARE * self.idle_share(),
         }
--- a/crates/dragonflystep_dispatch/tests/decisions.rs
+++ b/crates/dragonflystep_dispatch/tests/decisions.rs
@@ -328,3 +328,21 @@
     }
     assert!(owner.service_count() <= 2);
 }
+
+#[test]
+fn requests_that_together_exceed_an_engines_memory_do_not_run_there_at_once() {
+    // The engines of the test catalogue hold 700,000 tokens.
+    let mut owner = dispatcher(2, 4);
+    let long_request = |run| {
+        let mut request = plain_request(run, 0);
+        request.size.prompt_tokens = 400_000;
+        request.objective_left = Duration::from_secs(60);
+        request.time_left = Duration::from_secs(120);
+        request
+    };
+    let first = granted_upstream(request_slot(&mut owner, START, long_request(1)));
+    let second = granted_upstream(request_slot(&mut owner, START, long_request(2)));
+    assert_ne!(first, second);
+    assert_eq!(request_slot(&mut owner, START, long_request(3)), None);
+    granted_upstream(request_slot(&mut owner, START, plain_request(4, 0)));
+}
