Bound the memory that a node holds for slow readers

Cause: each stream was bounded to 64 chunks, and nothing bounded bodies, whole answers and streams over all connections, which all count to the memory of a VM with 160 MB.

Bodies, chunks queued behind others of their stream, and next chunks have a room each in 0.35 of the VM's memory. A body without room is read and discarded, and its request refused as not run; an answer waits, so that its upstream is read more slowly. A caller that does not read holds memory for no longer than its deadline, and cannot stop other streams.

--- a/crates/dragonflystep_edge/src/answer.rs
+++ b/crates/dragonflystep_edge/src/answer.rs
@@ -1,6 +1,7 @@
 //! Bodies of answers to callers, and the removal of hop-by-hop headers.
 
 use {
+    crate::{held_bytes::HeldChunk, limits::ANSWER_PIECE_BYTES},
     bytes::Bytes,
     http::{HeaderMap, HeaderName, header},
     http_body::{Body, Frame, SizeHint},
@@ -21,15 +22,22 @@
 #[derive(Debug)]
 pub enum AnswerBody {
     /// The whole body.
-    Buffered(Bytes),
+    Buffered(HeldChunk),
     /// The body arrives in chunks while it is sent.
-    Streamed(mpsc::Receiver<Result<Bytes, IncompleteAnswer>>),
+    Streamed(mpsc::Receiver<Result<HeldChunk, IncompleteAnswer>>),
 }
 
 impl AnswerBody {
     /// A body without content.
     pub fn empty() -> Self {
-        Self::Buffered(Bytes::new())
+        Self::from(Bytes::new())
+    }
+}
+
+impl From<Bytes> for AnswerBody {
+    /// The whole body of a reply of the node itself.
+    fn from(bytes: Bytes) -> Self {
+        Self::Buffered(HeldChunk::uncounted(bytes))
     }
 }
 
@@ -42,21 +50,24 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteAnswer>>> {
         match self.get_mut() {
-            Self::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Buffered(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Streamed(chunks) => chunks
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            Self::Buffered(body) if body.is_empty() => Poll::Ready(None),
+            Self::Buffered(body) => {
+                let piece = body.take_front(ANSWER_PIECE_BYTES);
+                Poll::Ready(Some(Ok(Frame::data(piece))))
+            }
+            Self::Streamed(chunks) => chunks.poll_recv(context).map(|chunk| {
+                chunk.map(|chunk| chunk.map(|mut chunk| Frame::data(chunk.take_front(usize::MAX))))
+            }),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Buffered(bytes) if bytes.is_empty())
+        matches!(self, Self::Buffered(body) if body.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Buffered(body) => SizeHint::with_exact(body.len() as u64),
             Self::Streamed(_) => SizeHint::default(),
         }
     }
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -11,6 +11,7 @@
         attempts::Attempts,
         burn::{FAILED, IN_TIME, LATE, REFUSED},
         dialect::{AnswerFacts, RequestFacts, UpstreamFacts},
+        held_bytes::Hold,
         limits::{LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS, OTHER_NODE_RETRY_AFTER},
         local_reply::LocalReply,
         node::Node,
@@ -63,6 +64,8 @@
     pub(crate) tier: Tier,
     /// Data centres whose upstreams may run the request; none if all may.
     pub(crate) allowed_data_centres: Option<Vec<DataCentreName>>,
+    /// Counts the body against the node's memory for connections.
+    pub(crate) _held_body: Option<Hold>,
     /// Counts the request as open; a stopping node waits for open requests within its grace period.
     pub(crate) _open_request: OpenRequest,
 }
@@ -208,8 +211,13 @@
             slot.end(RunOutcome::Unreachable, RunStats::default());
             return DispatchOutcome::NotRun(UNCONFIRMED);
         }
+        if !slot.permits_data_centre() {
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "the upstream's data centre takes no such request; its slot is returned");
+            slot.return_unused();
+            return DispatchOutcome::NotRun(WITHHELD);
+        }
         if !slot.accepts_requests() {
-            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream takes no such request, as this node knows; its slot is returned");
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream wants no request, as this node was told; its place is given back");
             slot.return_unused();
             return DispatchOutcome::NotRun(WITHHELD);
         }
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod event_stream;
 mod exchange;
 mod framing_check;
+mod held_bytes;
 mod job;
 mod limits;
 mod list_fetch;
@@ -50,6 +51,7 @@
     dialect::{
         AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, Stated, UpstreamFacts,
     },
+    held_bytes::HeldChunk,
     limits::OWNER_FEED_WAIT,
     list_version::{ListReading, era_of, is_older_copy, is_same_order, knows_before, order_number},
     logs::{LogBuffer, LogError, start_log},
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -114,6 +114,29 @@
 /// Retry-after time stated to a request that no data centre may process. Only an operator can change that.
 pub(crate) const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Share of a VM's memory that all connections together may hold. The rest is for the process itself, its lists and the
+/// buffers of the operating system.
+pub(crate) const HELD_MEMORY_SHARE: f64 = 0.35;
+
+/// Share of that memory that the bodies of requests may use.
+pub(crate) const BODY_MEMORY_SHARE: f64 = 0.5;
+
+/// Share of that memory for the chunks of streams that wait behind others of their stream. The rest is for whole answers
+/// and for the next chunk of each stream.
+pub(crate) const QUEUED_CHUNK_MEMORY_SHARE: f64 = 0.25;
+
+/// Unit in which held memory is counted, in bytes. Shorter chunks count as one unit, which covers their overhead.
+pub(crate) const HELD_UNIT_BYTES: usize = 1 << 10;
+
+/// Maximum number of bytes of a whole answer that are passed to the connection at once.
+pub(crate) const ANSWER_PIECE_BYTES: usize = 16 << 10;
+
+/// Retry-after time stated by a node that holds too much memory; about the duration of a run.
+pub(crate) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Memory of a VM whose settings do not state it, in bytes.
+pub(crate) const DEFAULT_MEMORY_BYTES: usize = 160 << 20;
+
 /// Maximum number of buffered chunks of a stream to a slow caller.
 pub(crate) const STREAM_BUFFER_CHUNKS: usize = 64;
 
--- a/crates/dragonflystep_edge/src/local_reply.rs
+++ b/crates/dragonflystep_edge/src/local_reply.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{answer::AnswerBody, node::Node},
+    bytes::Bytes,
     dragonflystep_dispatch::{Refusal, RefusalReason},
     http::{Response, StatusCode},
     std::time::Duration,
@@ -61,7 +62,7 @@
     pub(crate) fn response(self, node: &Node, request_id: &str) -> Response<AnswerBody> {
         node.metrics.count("own_answers_total", self.reason);
         let body = format!("{}\n", self.reason);
-        let mut response = Response::new(AnswerBody::Buffered(body.into()));
+        let mut response = Response::new(AnswerBody::from(Bytes::from(body)));
         *response.status_mut() = self.status;
         node.dialect
             .local_reply_headers(response.headers_mut(), request_id, self.retry_after);
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -12,6 +12,7 @@
         dialect::Dialect,
         entry_runs::EntryRuns,
         evacuations::KnownEvacuations,
+        held_bytes::HeldBytes,
         limits::OWNERS_KEY,
         list_fetch::ListFetches,
         members::Members,
@@ -75,6 +76,7 @@
     pub(crate) list_fetches: ListFetches,
     pub(crate) rollouts: Rc<Rollouts>,
     pub(crate) evacuations: KnownEvacuations,
+    pub(crate) held_bytes: HeldBytes,
     /// The region of each data centre; a reload of the settings may change it.
     pub(crate) regions: RefCell<BTreeMap<DataCentreName, RegionName>>,
     pub(crate) stop: StopSignal,
@@ -130,6 +132,7 @@
             list_fetches: ListFetches::default(),
             rollouts,
             evacuations: KnownEvacuations::default(),
+            held_bytes: HeldBytes::new(settings.memory_bytes),
             regions: RefCell::new(settings.regions.clone()),
             stop: StopSignal::default(),
             stop_grace: Cell::new(settings.stop_grace),
@@ -390,6 +393,7 @@
                 "runs_in_evacuated_data_centres",
                 self.runs_in_evacuated_data_centres() as f64,
             ),
+            ("held_bytes", self.held_bytes.held_bytes() as f64),
             ("requests_waiting_here", self.owner.waiting_count() as f64),
             ("services_known", self.owner.service_count() as f64),
         ]
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -11,12 +11,12 @@
         burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
         dialect::AnswerFacts,
         event_stream::{EventSplitter, StreamEvent},
+        held_bytes::{HeldBytes, HeldChunk},
         job::{DispatchOutcome, Job, ms},
         limits::{LATE_ANSWER_MARGIN, MAX_PLAIN_ANSWER_BYTES, STREAM_BUFFER_CHUNKS},
         slots::{RunStats, Slot},
         upstream_connections::OpenConnection,
     },
-    bytes::Bytes,
     dragonflystep_dispatch::{RouteKind, RunOutcome},
     http::{Response, StatusCode},
     http_body_util::{BodyExt, Limited},
@@ -40,13 +40,12 @@
 ) -> DispatchOutcome {
     let (head, body) = response.into_parts();
     let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
-    let body = match timeout(
-        time_limit,
-        Limited::new(body, MAX_PLAIN_ANSWER_BYTES).collect(),
-    )
-    .await
-    {
-        Ok(Ok(body)) => body.to_bytes(),
+    let reading = async {
+        let body = Limited::new(body, MAX_PLAIN_ANSWER_BYTES).collect().await?;
+        Ok::<_, BoxError>(job.node.held_bytes.hold_next(body.to_bytes()).await)
+    };
+    let body = match timeout(time_limit, reading).await {
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, error:%; "an answer was cut");
             slot.end(RunOutcome::Broken, RunStats::default());
@@ -77,6 +76,9 @@
     DispatchOutcome::Buffered(answer)
 }
 
+/// Error of a body that is read with a limit.
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Whether callers take a status to mean that the request did not run.
 fn implies_not_run(status: StatusCode) -> bool {
     matches!(
@@ -99,7 +101,7 @@
 
 /// The caller's side of a stream, which may come from several upstreams in turn.
 struct CallerStream {
-    chunks: mpsc::Sender<Result<Bytes, IncompleteAnswer>>,
+    chunks: mpsc::Sender<Result<HeldChunk, IncompleteAnswer>>,
     /// The id of the last event with an id that was sent to the caller.
     last_event_id: Option<String>,
     /// Time from the arrival of the request to the first event of an upstream. Each further upstream that sends an
@@ -188,10 +190,16 @@
                             metrics.observe("to_first_event_ms", name, elapsed);
                             caller.first_event_after = Some(job.arrived.elapsed());
                         }
-                        if caller.forward(event).await.is_err() {
-                            self.slot.end(RunOutcome::Cancelled, stats);
-                            return RelayEnd::CallerDisconnected;
-                        }
+                        // A caller that does not read holds memory for no longer than it may wait.
+                        let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
+                        let forwarding = caller.forward(&job.node.held_bytes, event);
+                        let end = match timeout(time_limit, forwarding).await {
+                            Ok(Ok(())) => continue,
+                            Ok(Err(IncompleteAnswer)) => RelayEnd::CallerDisconnected,
+                            Err(_) => RelayEnd::TimedOut,
+                        };
+                        self.slot.end(RunOutcome::Cancelled, stats);
+                        return end;
                     }
                 }
                 Some(Err(error)) => {
@@ -201,7 +209,10 @@
                 }
                 None => {
                     let remainder = splitter.take_remainder();
-                    if !remainder.bytes.is_empty() && caller.forward(remainder).await.is_err() {
+                    let held_bytes = &job.node.held_bytes;
+                    if !remainder.bytes.is_empty()
+                        && caller.forward(held_bytes, remainder).await.is_err()
+                    {
                         self.slot.end(RunOutcome::Cancelled, stats);
                         return RelayEnd::CallerDisconnected;
                     }
@@ -217,15 +228,25 @@
 
 impl CallerStream {
     /// Sends an event to the caller, unless the caller already received it from an earlier upstream.
-    async fn forward(&mut self, event: StreamEvent) -> Result<(), IncompleteAnswer> {
+    async fn forward(
+        &mut self,
+        held_bytes: &HeldBytes,
+        event: StreamEvent,
+    ) -> Result<(), IncompleteAnswer> {
         if let Some(id) = event.id {
             if self.has_received(&id) {
                 return Ok(());
             }
             self.last_event_id = Some(id);
         }
+        let is_next = self.chunks.capacity() == self.chunks.max_capacity();
+        let chunk = if is_next {
+            held_bytes.hold_next(event.bytes).await
+        } else {
+            held_bytes.hold_queued(event.bytes).await
+        };
         self.chunks
-            .send(Ok(event.bytes))
+            .send(Ok(chunk))
             .await
             .map_err(|_| IncompleteAnswer)
     }
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -4,16 +4,19 @@
     crate::{
         answer::AnswerBody,
         dialect::RequestFacts,
+        held_bytes::Hold,
         job::Job,
-        limits::{DEFAULT_TIME_LEFT, NO_REGION_RETRY_AFTER, OTHER_NODE_RETRY_AFTER},
+        limits::{
+            DEFAULT_TIME_LEFT, MEMORY_RETRY_AFTER, NO_REGION_RETRY_AFTER, OTHER_NODE_RETRY_AFTER,
+        },
         local_reply::LocalReply,
         node::Node,
         stop::{OpenRequest, StopSignal},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     dragonflystep_dispatch::{Account, DataCentreName, QuotaUnit, RouteMatch, RoutingError},
     http::{Request, Response, StatusCode, request::Parts},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
     std::{rc::Rc, time::Instant},
     tokio::time::timeout_at,
@@ -80,7 +83,7 @@
     let time_left = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived + time_left.min(resolved.route.timeout);
     let limits = table.catalogue().limits;
-    let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    let (body, held_body) = read_body(node, body, limits.max_body_bytes, deadline).await?;
     let key = facts.key.as_deref().unwrap_or("");
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let hashes = [
@@ -106,6 +109,7 @@
         quota_units,
         tier,
         allowed_data_centres,
+        _held_body: held_body,
         _open_request: open_request,
     }))
 }
@@ -139,24 +143,67 @@
     hashes.iter().flat_map(|hash| hash.to_le_bytes()).collect()
 }
 
+/// Reads a request's body whole; its bytes count against the node's memory for connections.
 async fn read_body(
+    node: &Node,
     body: Incoming,
     max_bytes: usize,
     deadline: Instant,
-) -> Result<Bytes, LocalReply> {
-    let too_large = LocalReply::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(too_large);
+) -> Result<(Bytes, Option<Hold>), LocalReply> {
+    let expected_bytes = body.size_hint().lower();
+    if expected_bytes > max_bytes as u64 {
+        return Err(too_large());
     }
-    let collected = timeout_at(deadline.into(), Limited::new(body, max_bytes).collect()).await;
-    let Ok(collected) = collected else {
-        return Err(LocalReply::new(StatusCode::REQUEST_TIMEOUT, "slow_body"));
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large),
-        Err(_) => Err(LocalReply::new(StatusCode::BAD_REQUEST, "broken_body")),
+    let reading = timeout_at(deadline.into(), read_frames(node, body, max_bytes));
+    match reading.await {
+        Ok(read) => read,
+        Err(_) => Err(LocalReply::new(StatusCode::REQUEST_TIMEOUT, "slow_body")),
+    }
+}
+
+fn too_large() -> LocalReply {
+    LocalReply::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
+}
+
+/// Reads the frames of a body. If there is no room for it, the rest is read and discarded before the request is refused:
+/// closing a connection with unread bytes resets it, and the caller might not get the reply.
+async fn read_frames(
+    node: &Node,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<(Bytes, Option<Hold>), LocalReply> {
+    let mut bytes = BytesMut::new();
+    let mut held: Option<Hold> = None;
+    let mut received_bytes = 0;
+    let mut has_room = true;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(LocalReply::new(StatusCode::BAD_REQUEST, "broken_body"));
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        received_bytes += data.len();
+        if received_bytes > max_bytes {
+            return Err(too_large());
+        }
+        let more = node.held_bytes.try_hold_body(data.len());
+        let Some(more) = more.filter(|_| has_room) else {
+            has_room = false;
+            held = None;
+            bytes = BytesMut::new();
+            continue;
+        };
+        match &mut held {
+            Some(held) => held.merge(more),
+            None => held = Some(more),
+        }
+        bytes.extend_from_slice(&data);
+    }
+    if !has_room {
+        return Err(LocalReply::not_run("memory_used_up", MEMORY_RETRY_AFTER));
     }
+    Ok((bytes.freeze(), held))
 }
 
 /// Units that a request takes from the quota of its account; 0 without a quota.
--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -217,14 +217,14 @@
     }
     let lifetime = node.address_lifetime.get();
     let (content_type, body) = node.dialect.directory_answer(&addresses, lifetime);
-    let mut response = Response::new(AnswerBody::Buffered(body));
+    let mut response = Response::new(AnswerBody::from(body));
     let value = HeaderValue::from_static(content_type);
     response.headers_mut().insert(header::CONTENT_TYPE, value);
     response
 }
 
 fn text_response(status: StatusCode, text: String) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::Buffered(Bytes::from(text)));
+    let mut response = Response::new(AnswerBody::from(Bytes::from(text)));
     *response.status_mut() = status;
     response
 }
--- a/crates/dragonflystep_edge/src/settings.rs
+++ b/crates/dragonflystep_edge/src/settings.rs
@@ -37,6 +37,8 @@
     pub stop_grace: Duration,
     /// How long callers may keep a list of addresses.
     pub address_lifetime: Duration,
+    /// Memory of the VM, in bytes; connections together may hold a share of it.
+    pub memory_bytes: usize,
     /// Maximum number of open connections from callers.
     pub max_client_connections: usize,
     /// Seed of the random numbers that spread waiting times and form run ids; `None` to draw one.
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -1,7 +1,7 @@
 //! Reads and validates the JSON settings file of a node. Errors name the path of the wrong field.
 
 use {
-    crate::settings::NodeSettings,
+    crate::{limits::DEFAULT_MEMORY_BYTES, settings::NodeSettings},
     dragonflystep_dispatch::{
         DataCentreName, NodeName, QuotaRules, RegionName, RolloutRules, SharedLimits, WarmUpRules,
     },
@@ -52,6 +52,8 @@
     listen: Listen,
     cpu_share: f64,
     max_descriptors: usize,
+    /// Memory of the VM in MB; 160 if absent.
+    memory_mb: Option<f64>,
     stop_grace_s: f64,
     address_lifetime_limit_s: f64,
     retries: Retries,
@@ -190,6 +192,9 @@
         stop_grace: Duration::from_secs_f64(file.stop_grace_s),
         address_lifetime: MAX_ADDRESS_LIFETIME
             .min(Duration::from_secs_f64(file.address_lifetime_limit_s)),
+        memory_bytes: file
+            .memory_mb
+            .map_or(DEFAULT_MEMORY_BYTES, |megabytes| (megabytes * 1e6) as usize),
         max_client_connections: (file.max_descriptors as f64 * CLIENT_DESCRIPTOR_SHARE) as usize,
         seed: None,
     };
@@ -210,6 +215,11 @@
             "max_descriptors",
             "must be 64 or more",
         ),
+        (
+            !(16.0..=1e9).contains(&file.memory_mb.unwrap_or(16.0)),
+            "memory_mb",
+            "must be 16 or more",
+        ),
         (
             !is_duration(file.stop_grace_s),
             "stop_grace_s",
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -76,15 +76,17 @@
         }
     }
 
-    /// Whether the request may be sent to the upstream. By what is known here, the upstream has not asked this node to
-    /// back off and is not leaving, and requests like this one may be sent to its data centre.
+    /// Whether the upstream accepts requests from this node. By the notices known here, it has not asked the node to
+    /// back off and is not leaving.
     pub(crate) fn accepts_requests(&self) -> bool {
         let (node, upstream) = (&self.node, &self.grant.upstream);
         let must_back_off = node.owner.is_backed_off(upstream, node.node_incarnation());
-        !must_back_off && !node.owner.is_leaving(upstream) && self.permits_data_centre()
+        !must_back_off && !node.owner.is_leaving(upstream)
     }
 
-    fn permits_data_centre(&self) -> bool {
+    /// Whether the request may be sent to the upstream's data centre: it is not evacuated, and the request may be
+    /// processed there.
+    pub(crate) fn permits_data_centre(&self) -> bool {
         let runs = self.node.entry_runs.runs.borrow();
         let allowed = runs
             .get(&self.run)
