--- a/crates/dragonflystep_edge/src/attempts.rs
+++ b/crates/dragonflystep_edge/src/attempts.rs
@@ -6,7 +6,8 @@
         slots::{Slot, acquire_slot},
     },
     dragonflystep_dispatch::{Refusal, UpstreamId},
-    std::time::{Duration, Instant},
+    std::time::Duration,
+    tokio::time::Instant,
 };
 
 /// The dispatches and slot requests of one request so far.
--- a/crates/dragonflystep_edge/src/connection_io.rs
+++ b/crates/dragonflystep_edge/src/connection_io.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::framing_check::FramingCheck,
+    dragonflystep_peer::NetworkStream,
     hyper::rt::{Read, ReadBufCursor, Write},
     hyper_util::rt::TokioIo,
     std::{
@@ -11,9 +12,8 @@
         pin::Pin,
         rc::Rc,
         task::{Context, Poll, ready},
-        time::Instant,
     },
-    tokio::net::TcpStream,
+    tokio::time::Instant,
 };
 
 /// An invalid request head, passed to the HTTP library in place of rejected bytes: the library replies with an error
@@ -43,9 +43,9 @@
     }
 }
 
-/// A TCP connection whose received bytes pass a [`FramingCheck`] before the HTTP library reads them.
+/// A connection whose received bytes pass a [`FramingCheck`] before the HTTP library reads them.
 pub(crate) struct CheckedConnection {
-    inner: TokioIo<TcpStream>,
+    inner: TokioIo<Box<dyn NetworkStream>>,
     check: FramingCheck,
     /// Whether the framing was rejected; all further reads report the end of the connection.
     is_rejected: bool,
@@ -53,7 +53,7 @@
 }
 
 impl CheckedConnection {
-    pub(crate) fn new(stream: TcpStream, times: Rc<ConnectionTimes>) -> Self {
+    pub(crate) fn new(stream: Box<dyn NetworkStream>, times: Rc<ConnectionTimes>) -> Self {
         Self {
             inner: TokioIo::new(stream),
             check: FramingCheck::default(),
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -29,12 +29,11 @@
     http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
-    std::{
-        rc::Rc,
-        sync::Arc,
-        time::{Duration, Instant},
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        task::spawn_local,
+        time::{Instant, timeout},
     },
-    tokio::{task::spawn_local, time::timeout},
 };
 
 /// Reasons for which a request was not sent to its upstream; such a dispatch does not count as an attempt.
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -3,10 +3,6 @@
 
 use std::time::Duration;
 
-/// Timeout for opening a connection to an upstream. It covers several round trips within a region and is far below
-/// the shortest objective.
-pub(crate) const UPSTREAM_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Share of an upstream's keep-alive time during which an idle connection to it is reused. The rest covers the
 /// transit time and an inaccurate clock.
 pub(crate) const USABLE_KEEP_ALIVE_SHARE: f64 = 0.7;
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -17,7 +17,7 @@
         versioned_list::{Changes, ListEntry, VersionedList},
     },
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
-    dragonflystep_peer::{PeerLink, PeerNetwork},
+    dragonflystep_peer::{Network, PeerLink},
     std::{
         cell::{Cell, Ref, RefCell},
         collections::{BTreeMap, HashMap},
@@ -52,7 +52,7 @@
 /// The nodes of the system from the point of view of this one.
 pub(crate) struct Members {
     own_record: MemberRecord,
-    network: Rc<dyn PeerNetwork>,
+    network: Rc<dyn Network>,
     /// The list of nodes, from which `peers` is built.
     list: RefCell<VersionedList<MemberRecord>>,
     peers: RefCell<BTreeMap<NodeName, PeerState>>,
@@ -64,7 +64,7 @@
 }
 
 impl Members {
-    pub(crate) fn new(own_record: MemberRecord, network: Rc<dyn PeerNetwork>) -> Self {
+    pub(crate) fn new(own_record: MemberRecord, network: Rc<dyn Network>) -> Self {
         Self {
             own_record,
             network,
@@ -313,7 +313,7 @@
 }
 
 impl PeerState {
-    fn new(record: MemberRecord, network: Rc<dyn PeerNetwork>) -> Self {
+    fn new(record: MemberRecord, network: Rc<dyn Network>) -> Self {
         Self {
             link: Rc::new(PeerLink::with_network(network, record.peers.clone())),
             record,
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -30,7 +30,7 @@
         DataCentreName, Event, MonotonicTime, NodeIncarnation, NodeName, RegionName, RunId,
         Upstream, UpstreamPhase, Visibility, run_id,
     },
-    dragonflystep_peer::PeerNetwork,
+    dragonflystep_peer::Network,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         cell::{Cell, RefCell},
@@ -102,11 +102,7 @@
 }
 
 impl Node {
-    fn new(
-        settings: NodeSettings,
-        dialect: Box<dyn Dialect>,
-        network: Rc<dyn PeerNetwork>,
-    ) -> Self {
+    fn new(settings: NodeSettings, dialect: Box<dyn Dialect>, network: Rc<dyn Network>) -> Self {
         let seed = settings.seed.unwrap_or_else(rand::random);
         let mut random = SmallRng::seed_from_u64(seed);
         let incarnation = random.random();
@@ -120,12 +116,12 @@
         let rollouts = Rc::new(Rollouts::default());
         Self {
             owner: Rc::new(Owner::new(settings.shared_limits, rollouts.clone())),
-            members: Members::new(own_record, network),
+            members: Members::new(own_record, network.clone()),
             entry_runs: EntryRuns::new(
                 settings.shared_limits.quota.window,
                 settings.is_first_start,
             ),
-            connections: UpstreamConnections::default(),
+            connections: UpstreamConnections::new(network.clone()),
             upstream_health: UpstreamHealth::default(),
             metrics: Metrics::default(),
             views: Views::default(),
--- a/crates/dragonflystep_edge/src/node/run.rs
+++ b/crates/dragonflystep_edge/src/node/run.rs
@@ -12,10 +12,9 @@
         settings::NodeSettings,
         stop::stop,
     },
-    dragonflystep_peer::PeerNetwork,
-    std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration},
+    dragonflystep_peer::{Network, NetworkListener},
+    std::{future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
-        net::TcpListener,
         task::spawn_local,
         time::{Instant, sleep},
     },
@@ -34,19 +33,18 @@
     settings: NodeSettings,
     dialect: Box<dyn Dialect>,
     platform: Rc<dyn Platform>,
-    network: Rc<dyn PeerNetwork>,
+    network: Rc<dyn Network>,
     stop_requested: impl Future<Output = Result<(), NodeError>>,
 ) -> Result<(), NodeError> {
     let node = Rc::new(Node::new(settings, dialect, network.clone()));
     let started = Instant::now();
     let addresses = &node.settings;
-    let ingress = listen(addresses.ingress, "callers").await?;
-    let readiness = listen(addresses.readiness, "readiness").await?;
-    let directory = listen(addresses.directory, "the directory").await?;
-    let peers = network.listen(addresses.peers).await;
-    let peers = peers.map_err(|source| listen_error(addresses.peers, "other nodes", source))?;
+    let ingress = listen(&*network, addresses.ingress, "callers").await?;
+    let readiness = listen(&*network, addresses.readiness, "readiness").await?;
+    let directory = listen(&*network, addresses.directory, "the directory").await?;
+    let peers = listen(&*network, addresses.peers, "other nodes").await?;
     if let Some(address) = addresses.metrics {
-        let metrics = listen(address, "metrics").await?;
+        let metrics = listen(&*network, address, "metrics").await?;
         spawn_local(serve_listener(node.clone(), metrics, ListenerKind::Metrics));
     }
     spawn_local(serve_listener(node.clone(), ingress, ListenerKind::Ingress));
@@ -75,17 +73,17 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, NodeError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|source| listen_error(address, purpose, source))
-}
-
-fn listen_error(address: SocketAddr, purpose: &'static str, source: io::Error) -> NodeError {
-    NodeError::Listen {
+async fn listen(
+    network: &dyn Network,
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<Box<dyn NetworkListener>, NodeError> {
+    let listener = network.listen(address).await;
+    listener.map_err(|source| NodeError::Listen {
         address,
         purpose,
         source,
-    }
+    })
 }
 
 async fn close_unused_connections(node: Rc<Node>) {
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -10,7 +10,7 @@
         UpstreamLoad, UpstreamNotice, UsageReport,
     },
     dragonflystep_peer::{
-        Digest, ListPiece, ListPieceRequest, PeerHandler, PeerListener, SlotDecisionFuture,
+        Digest, ListPiece, ListPieceRequest, NetworkListener, PeerHandler, SlotDecisionFuture,
         serve_peer,
     },
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
@@ -21,7 +21,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Accepts connections of other nodes for as long as the node runs.
-pub(crate) async fn serve_peers(node: Rc<Node>, mut listener: Box<dyn PeerListener>) {
+pub(crate) async fn serve_peers(node: Rc<Node>, mut listener: Box<dyn NetworkListener>) {
     loop {
         let stream = match listener.accept().await {
             Ok(stream) => stream,
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -18,8 +18,8 @@
     http::{Request, Response, StatusCode, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
-    std::{rc::Rc, time::Instant},
-    tokio::time::timeout_at,
+    std::rc::Rc,
+    tokio::time::{Instant, timeout_at},
     xxhash_rust::xxh3::xxh3_64,
 };
 
--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -9,20 +9,13 @@
     },
     bytes::Bytes,
     dragonflystep_dispatch::ClientLimits,
-    dragonflystep_peer::{KeepaliveLimits, configure_stream},
+    dragonflystep_peer::{NetworkListener, NetworkStream},
     http::{HeaderValue, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
-    std::{
-        cell::Cell,
-        convert::Infallible,
-        pin::pin,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration},
     tokio::{
-        net::{TcpListener, TcpStream},
         task::spawn_local,
-        time::{sleep, sleep_until},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -43,11 +36,15 @@
 
 /// Accepts and serves the connections of one listener for as long as the node runs. Connections beyond the configured
 /// number are closed at once.
-pub(crate) async fn serve_listener(node: Rc<Node>, listener: TcpListener, kind: ListenerKind) {
+pub(crate) async fn serve_listener(
+    node: Rc<Node>,
+    mut listener: Box<dyn NetworkListener>,
+    kind: ListenerKind,
+) {
     let open_connections = Rc::new(Cell::new(0_usize));
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok(stream) => stream,
             Err(error) => {
                 log::warn!(door:? = kind, error:%; "can't accept a connection");
                 sleep(ACCEPT_PAUSE).await;
@@ -58,10 +55,6 @@
             node.metrics.count("connections_refused_total", "too_many");
             continue;
         }
-        if let Err(error) = configure_stream(&stream, KeepaliveLimits::default()) {
-            log::debug!(error:%; "could not configure a caller's connection; it is closed");
-            continue;
-        }
         let (node, open_connections) = (node.clone(), open_connections.clone());
         spawn_local(async move {
             open_connections.set(open_connections.get() + 1);
@@ -79,7 +72,7 @@
 
 /// Serves one connection until it ends. A head that takes too long closes it at once; an idle timeout or the stop of
 /// the node closes it after the answer in progress.
-async fn serve_connection(node: Rc<Node>, stream: TcpStream, kind: ListenerKind) {
+async fn serve_connection(node: Rc<Node>, stream: Box<dyn NetworkStream>, kind: ListenerKind) {
     let times = ConnectionTimes::new();
     let io = CheckedConnection::new(stream, times.clone());
     let service = service_fn(|request| {
@@ -106,7 +99,7 @@
                 }
                 return;
             }
-            () = sleep_until(deadline.into()) => {
+            () = sleep_until(deadline) => {
                 let (current_deadline, _) = next_deadline(&node, &times);
                 if current_deadline > Instant::now() {
                     continue;
--- a/crates/dragonflystep_edge/src/stop.rs
+++ b/crates/dragonflystep_edge/src/stop.rs
@@ -8,16 +8,12 @@
         node::{Node, NodeError},
         platform::Platform,
     },
-    std::{
-        cell::Cell,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::{
         signal::unix::{SignalKind, signal},
         sync::watch,
         task::spawn_local,
-        time::sleep,
+        time::{Instant, sleep},
     },
 };
 
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -1,11 +1,9 @@
 //! Connections to upstreams. A connection whose answer was read whole is kept in a pool for the next request.
 
 use {
-    crate::limits::{
-        DEFAULT_KEEP_ALIVE, MAX_IDLE_CONNECTIONS, UPSTREAM_CONNECT_TIMEOUT, USABLE_KEEP_ALIVE_SHARE,
-    },
+    crate::limits::{DEFAULT_KEEP_ALIVE, MAX_IDLE_CONNECTIONS, USABLE_KEEP_ALIVE_SHARE},
     bytes::Bytes,
-    dragonflystep_peer::{KeepaliveLimits, configure_stream},
+    dragonflystep_peer::Network,
     http::{Request, Response},
     http_body_util::Full,
     hyper::{
@@ -13,13 +11,8 @@
         client::conn::http1::{Builder, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    std::{
-        cell::RefCell,
-        collections::HashMap,
-        io,
-        time::{Duration, Instant},
-    },
-    tokio::{net::TcpStream, task::spawn_local, time::timeout},
+    std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration},
+    tokio::{task::spawn_local, time::Instant},
 };
 
 /// Why a request received no answer.
@@ -46,12 +39,19 @@
 }
 
 /// The pool of idle connections, by address of the upstream.
-#[derive(Default)]
 pub(crate) struct UpstreamConnections {
+    network: Rc<dyn Network>,
     idle: RefCell<HashMap<String, Vec<IdleConnection>>>,
 }
 
 impl UpstreamConnections {
+    pub(crate) fn new(network: Rc<dyn Network>) -> Self {
+        Self {
+            network,
+            idle: RefCell::default(),
+        }
+    }
+
     /// Sends a request on an idle connection or, if there is none that still works, on a new one.
     pub(crate) async fn send(
         &self,
@@ -65,7 +65,7 @@
                 Err(TrySendError::Broken(error)) => return Err(SendError::Broken(error)),
             }
         }
-        let sender = connect(address).await.map_err(SendError::NotSent)?;
+        let sender = self.connect(address).await.map_err(SendError::NotSent)?;
         match try_send(sender, request).await {
             Ok((response, sender)) => Ok((response, open_connection(address, sender))),
             Err(TrySendError::Unsent(_)) => {
@@ -106,6 +106,21 @@
         });
     }
 
+    async fn connect(&self, address: &str) -> io::Result<SendRequest<Full<Bytes>>> {
+        let stream = self.network.connect(address).await?;
+        let (sender, connection) = Builder::new()
+            .title_case_headers(true)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("a connection to an upstream ended with an error: {error}");
+            }
+        });
+        Ok(sender)
+    }
+
     /// Takes a usable idle connection from the pool, the latest first.
     fn take_idle(&self, address: &str) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
@@ -147,21 +162,3 @@
         }),
     }
 }
-
-async fn connect(address: &str) -> io::Result<SendRequest<Full<Bytes>>> {
-    let stream = timeout(UPSTREAM_CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    configure_stream(&stream, KeepaliveLimits::default())?;
-    let (sender, connection) = Builder::new()
-        .title_case_headers(true)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(io::Error::other)?;
-    spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!("a connection to an upstream ended with an error: {error}");
-        }
-    });
-    Ok(sender)
-}
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -20,7 +20,7 @@
 pub use self::{
     error::PeerError,
     link::PeerLink,
-    network::{ListenerFuture, PeerListener, PeerNetwork, PeerStream, StreamFuture, TcpNetwork},
+    network::{ListenerFuture, Network, NetworkListener, NetworkStream, StreamFuture, TcpNetwork},
     server::{PeerHandler, SlotDecisionFuture, serve_peer},
     sockets::{KeepaliveLimits, configure_stream},
 };
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Digest, ListPiece, ListPieceRequest, PeerError, PeerNetwork, TcpNetwork,
+        Digest, ListPiece, ListPieceRequest, Network, PeerError, TcpNetwork,
         codec::{
             decode_digest, decode_list_piece, decode_slot_decision, encode_active_run,
             encode_digest, encode_list_piece_request, encode_load, encode_run_report,
@@ -34,7 +34,7 @@
 /// A link to one node, which opens its connection on demand and reopens it after a failure.
 pub struct PeerLink {
     address: String,
-    network: Rc<dyn PeerNetwork>,
+    network: Rc<dyn Network>,
     start: Instant,
     connection: RefCell<Option<Connection>>,
     /// Held while a connection is being opened, so that concurrent calls share it.
@@ -64,7 +64,7 @@
     }
 
     /// Creates a link over `network` to the node at `address`, as IP:PORT, without opening a connection.
-    pub fn with_network(network: Rc<dyn PeerNetwork>, address: String) -> Self {
+    pub fn with_network(network: Rc<dyn Network>, address: String) -> Self {
         Self {
             address,
             network,
--- a/crates/dragonflystep_peer/src/network.rs
+++ b/crates/dragonflystep_peer/src/network.rs
@@ -1,4 +1,5 @@
-//! Transport between nodes: TCP, or a simulated network for tests that run in virtual time.
+//! Transport of a node to other nodes, upstreams and callers: TCP, or a simulated network for tests that run in
+//! virtual time.
 
 use {
     crate::{KeepaliveLimits, configure_stream},
@@ -10,32 +11,34 @@
     },
 };
 
-/// Time limit for opening a connection, which allows for several round trips within a region.
+/// Time limit for opening a connection. It allows for several round trips within a region and is far below the shortest
+/// objective of a request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// A byte stream to another node.
-pub trait PeerStream: AsyncRead + AsyncWrite + Unpin {}
+/// A byte stream to another node, an upstream or a caller.
+pub trait NetworkStream: AsyncRead + AsyncWrite + Unpin {}
 
-impl<T: AsyncRead + AsyncWrite + Unpin> PeerStream for T {}
+impl<T: AsyncRead + AsyncWrite + Unpin> NetworkStream for T {}
 
 /// Resolves to a connection once it is open.
-pub type StreamFuture<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn PeerStream>>> + 'a>>;
+pub type StreamFuture<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn NetworkStream>>> + 'a>>;
 
-/// Accepts connections from other nodes.
-pub trait PeerListener {
+/// Accepts connections from other nodes or callers.
+pub trait NetworkListener {
     /// Waits for the next connection.
     fn accept(&mut self) -> StreamFuture<'_>;
 }
 
 /// Resolves to a listener once it is bound to its address.
-pub type ListenerFuture<'a> = Pin<Box<dyn Future<Output = io::Result<Box<dyn PeerListener>>> + 'a>>;
+pub type ListenerFuture<'a> =
+    Pin<Box<dyn Future<Output = io::Result<Box<dyn NetworkListener>>> + 'a>>;
 
-/// A transport that connects nodes; implemented by [`TcpNetwork`] and by simulated networks of tests.
-pub trait PeerNetwork {
-    /// Opens a connection to the node at `address`, as IP:PORT.
+/// A transport that connects a node to others; implemented by [`TcpNetwork`] and by simulated networks of tests.
+pub trait Network {
+    /// Opens a connection to the node or upstream at `address`, as IP:PORT.
     fn connect<'a>(&'a self, address: &'a str) -> StreamFuture<'a>;
 
-    /// Listens at `address` for connections from other nodes.
+    /// Listens at `address` for connections.
     fn listen(&self, address: SocketAddr) -> ListenerFuture<'_>;
 }
 
@@ -43,7 +46,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TcpNetwork;
 
-impl PeerNetwork for TcpNetwork {
+impl Network for TcpNetwork {
     fn connect<'a>(&'a self, address: &'a str) -> StreamFuture<'a> {
         Box::pin(async move {
             let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -55,13 +58,13 @@
 
     fn listen(&self, address: SocketAddr) -> ListenerFuture<'_> {
         Box::pin(async move {
-            let listener: Box<dyn PeerListener> = Box::new(TcpListener::bind(address).await?);
+            let listener: Box<dyn NetworkListener> = Box::new(TcpListener::bind(address).await?);
             Ok(listener)
         })
     }
 }
 
-impl PeerListener for TcpListener {
+impl NetworkListener for TcpListener {
     fn accept(&mut self) -> StreamFuture<'_> {
         Box::pin(async move {
             loop {
@@ -70,7 +73,7 @@
                     Ok(stream) => return Ok(stream),
                     Err(error) => {
                         log::debug!(
-                            "an accepted connection from another node could not be set up: {error}"
+                            "could not configure an accepted connection; it is closed: {error}"
                         )
                     }
                 }
@@ -80,7 +83,7 @@
 }
 
 /// Sets the socket options of a new connection.
-fn configured(stream: TcpStream) -> io::Result<Box<dyn PeerStream>> {
+fn configured(stream: TcpStream) -> io::Result<Box<dyn NetworkStream>> {
     configure_stream(&stream, KeepaliveLimits::default())?;
     Ok(Box::new(stream))
 }
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Digest, ListPiece, ListPieceRequest, PeerError, PeerStream,
+        Digest, ListPiece, ListPieceRequest, NetworkStream, PeerError,
         codec::{
             decode_active_run, decode_digest, decode_list_piece_request, decode_load,
             decode_run_report, decode_slot_request, decode_usage, encode_digest, encode_list_piece,
@@ -56,7 +56,7 @@
 pub(crate) const BUFFER_BYTES: usize = 2048;
 
 /// Serves one connection from another node until it ends.
-pub async fn serve_peer(stream: Box<dyn PeerStream>, handler: Rc<dyn PeerHandler>) {
+pub async fn serve_peer(stream: Box<dyn NetworkStream>, handler: Rc<dyn PeerHandler>) {
     let network = vat_network(stream, Side::Server);
     let client: peer::Client = new_client(RpcService { handler });
     if let Err(error) = RpcSystem::new(network, Some(client.client)).await {
@@ -65,11 +65,11 @@
 }
 
 /// Buffered reading half of a connection.
-type StreamReader = BufReader<Compat<ReadHalf<Box<dyn PeerStream>>>>;
+type StreamReader = BufReader<Compat<ReadHalf<Box<dyn NetworkStream>>>>;
 
 /// Sets up the Cap'n Proto RPC transport over a connection.
 pub(crate) fn vat_network(
-    stream: Box<dyn PeerStream>,
+    stream: Box<dyn NetworkStream>,
     side: Side,
 ) -> Box<VatNetwork<StreamReader>> {
     let (read, write): (_, WriteHalf<_>) = split(stream);
