--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -7,7 +7,7 @@
         ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
         limits::{OVERLAP_RATE_SHARE, OWNER_OVERLAP},
         messages::{
-            ActiveRun, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest,
+            ActiveRun, BackOff, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest,
             UpstreamLoad,
         },
         notices::{UpstreamNotice, UpstreamNotices},
@@ -142,6 +142,7 @@
     /// Data centres whose upstreams get no requests.
     evacuated: BTreeSet<DataCentreName>,
     rollout_steps: Vec<RolloutStep>,
+    back_offs: Vec<BackOff>,
     notices: UpstreamNotices,
     /// Time until which another owner may be granting slots too; absent when no overlap is known.
     overlap_ends_at: Option<MonotonicTime>,
@@ -161,6 +162,7 @@
             warm_up_rules: limits.warm_up,
             evacuated: BTreeSet::new(),
             rollout_steps: Vec::new(),
+            back_offs: Vec::new(),
             notices: UpstreamNotices::default(),
             overlap_ends_at: None,
         }
@@ -171,6 +173,11 @@
         std::mem::take(&mut self.rollout_steps)
     }
 
+    /// Returns the back-offs from upstreams that began since the last call, to be logged.
+    pub fn take_back_offs(&mut self) -> Vec<BackOff> {
+        std::mem::take(&mut self.back_offs)
+    }
+
     /// Applies an event that happened at `now` and returns the resulting decisions.
     pub fn reduce(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -402,7 +409,9 @@
         let Some(pool) = self.pools.get_mut(&report.service) else {
             return;
         };
-        if let Some(finished) = pool.finish_run(now, report) {
+        let finished = pool.finish_run(now, report);
+        self.back_offs.extend(pool.take_back_offs());
+        if let Some(finished) = finished {
             match report.outcome {
                 RunOutcome::Broken => self.crash_suspects.record_crash(now, finished.fingerprint),
                 RunOutcome::Completed => {
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -45,7 +45,7 @@
         UpstreamVersion, node_incarnation_of, run_id,
     },
     messages::{
-        ActiveRun, Grant, PromptSegment, Refusal, RefusalReason, RunOutcome, RunReport,
+        ActiveRun, BackOff, Grant, PromptSegment, Refusal, RefusalReason, RunOutcome, RunReport,
         SlotDecision, SlotRequest, UpstreamLoad, WorkSize,
     },
     notices::{NoticeKind, UpstreamNotice},
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -217,6 +217,19 @@
     }
 }
 
+/// A back-off from an upstream that an owner began because of a failed run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackOff {
+    /// The upstream that gets no requests meanwhile.
+    pub upstream: UpstreamId,
+    /// The run that failed, by which the node that reported it is known.
+    pub run: RunId,
+    /// How that run ended.
+    pub outcome: RunOutcome,
+    /// Length of the back-off.
+    pub duration: Duration,
+}
+
 /// An entry node's report of the end of a run, with the durations from which the owner learns.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunReport {
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -17,7 +17,7 @@
         dispatcher::Effect,
         ids::{MonotonicTime, RunId, Tier, UpstreamId},
         limits::{DEFAULT_CACHE_TOKENS, MAX_SKIPPED_REQUESTS, UNORDERED_VERSION_HOLD},
-        messages::{RefusalReason, SlotRequest},
+        messages::{BackOff, RefusalReason, SlotRequest},
         notices::UpstreamNotices,
         queue::{QueuedRequest, WaitQueue},
         refusal::{ArrivalRates, longest_wait},
@@ -74,6 +74,8 @@
     has_evacuated: bool,
     /// Requests that were refused after waiting and whose quota units were not refunded yet.
     refused_waiting: Vec<SlotRequest>,
+    /// Back-offs that began since they were last taken.
+    back_offs: Vec<BackOff>,
 }
 
 impl ServicePool {
@@ -278,6 +280,11 @@
         std::mem::take(&mut self.refused_waiting)
     }
 
+    /// Returns the back-offs that began since the last call.
+    pub(crate) fn take_back_offs(&mut self) -> Vec<BackOff> {
+        std::mem::take(&mut self.back_offs)
+    }
+
     /// Removes a request from the queue because its entry node no longer waits for a slot.
     pub(crate) fn withdraw(&mut self, run: RunId) -> Option<SlotRequest> {
         self.queue.remove(run).map(|queued| queued.request)
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -6,7 +6,7 @@
     crate::{
         ids::{MonotonicTime, RequestFingerprint},
         limits::MAX_SUSPENDED_SHARE,
-        messages::{ActiveRun, RunOutcome, RunReport, SlotRequest, UpstreamLoad},
+        messages::{ActiveRun, BackOff, RunOutcome, RunReport, SlotRequest, UpstreamLoad},
         placement::predict,
         upstream::Run,
     },
@@ -51,7 +51,14 @@
         let upstream = &mut self.upstreams[index];
         let run = upstream.runs.remove(&report.run)?;
         self.search.note_freed(index);
-        upstream.record_outcome(now, report.outcome, may_back_off);
+        if let Some(duration) = upstream.record_outcome(now, report.outcome, may_back_off) {
+            self.back_offs.push(BackOff {
+                upstream: upstream.entry.id.clone(),
+                run: report.run,
+                outcome: report.outcome,
+                duration,
+            });
+        }
         if report.outcome == RunOutcome::Unreachable {
             self.assume_restarted(now, index);
         }
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -310,13 +310,14 @@
         self.failures_in_row >= FAILURES_BEFORE_BACK_OFF && !self.is_unreachable
     }
 
-    /// Records how a run ended. Failed answers lead to a back-off only if `may_back_off` is set.
+    /// Records how a run ended. Failed answers lead to a back-off only if `may_back_off` is set. Returns the length of
+    /// the back-off that a failure led to.
     pub(crate) fn record_outcome(
         &mut self,
         now: MonotonicTime,
         outcome: RunOutcome,
         may_back_off: bool,
-    ) {
+    ) -> Option<Duration> {
         match outcome {
             RunOutcome::Completed
             | RunOutcome::Failed
@@ -325,13 +326,13 @@
             RunOutcome::Misdirected => {
                 // The address now belongs to another upstream; the registry will show that shortly.
                 self.back_off_until = now + MAX_BACK_OFF;
-                return;
+                return Some(MAX_BACK_OFF);
             }
             RunOutcome::Rejected => {
                 self.back_off_until = self.back_off_until.max(now + REJECTION_BACK_OFF);
-                return;
+                return None;
             }
-            RunOutcome::Cancelled | RunOutcome::Withheld => return,
+            RunOutcome::Cancelled | RunOutcome::Withheld => return None,
         }
         let has_failed = outcome.has_failed();
         let sample = if has_failed { 1.0 } else { 0.0 };
@@ -342,7 +343,7 @@
             }
             self.failures_in_row = 0;
             self.back_off = INITIAL_BACK_OFF;
-            return;
+            return None;
         }
         self.failures_in_row += 1;
         self.is_unreachable = outcome == RunOutcome::Unreachable;
@@ -351,9 +352,12 @@
         }
         if self.is_unreachable || self.failures_in_row >= FAILURES_BEFORE_BACK_OFF {
             self.failures_in_row = self.failures_in_row.max(FAILURES_BEFORE_BACK_OFF);
-            self.back_off_until = now + self.back_off;
-            self.back_off = (self.back_off * 2).min(MAX_BACK_OFF);
+            let back_off = self.back_off;
+            self.back_off_until = now + back_off;
+            self.back_off = (back_off * 2).min(MAX_BACK_OFF);
+            return Some(back_off);
         }
+        None
     }
 
     /// Drops runs whose end was never reported. A run is kept past its predicted end for [`LOST_RUN_GRACE`], or for the
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -9,7 +9,7 @@
     dragonflystep_dispatch::{
         ActiveRun, Dispatcher, Effect, Event, Grant, MonotonicTime, NodeIncarnation, PoolSummary,
         RefusalReason, RunId, RunOutcome, RunReport, ServiceName, SharedLimits, SlotDecision,
-        SlotRequest, UpstreamId, UpstreamNotice, Visibility,
+        SlotRequest, UpstreamId, UpstreamNotice, Visibility, node_incarnation_of,
     },
     std::{
         cell::{Cell, RefCell},
@@ -79,7 +79,12 @@
         let mut dispatcher = self.dispatcher.borrow_mut();
         let effects = dispatcher.reduce(self.now(), event);
         let rollout_steps = dispatcher.take_rollout_steps();
+        let back_offs = dispatcher.take_back_offs();
         drop(dispatcher);
+        for back_off in back_offs {
+            let node_start = node_incarnation_of(back_off.run);
+            log::info!(upstream:% = back_off.upstream, node_start, outcome = back_off.outcome.name(), back_off_ms = back_off.duration.as_millis() as u64; "upstream is backed off");
+        }
         self.rollouts.push_steps(rollout_steps);
         for effect in effects {
             self.deliver_decision(effect);
