--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -40,6 +40,7 @@
 const UNREACHABLE: &str = "unreachable";
 const UNCONFIRMED: &str = "unconfirmed";
 const WITHHELD: &str = "withheld";
+const NO_PATH: &str = "no_path";
 
 /// A routed request with its whole body, from its arrival until its final answer.
 pub(crate) struct Job {
@@ -84,7 +85,10 @@
 impl DispatchOutcome {
     /// Whether nothing was sent to the upstream; the dispatch then does not count as an attempt.
     pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self, Self::NotRun(UNREACHABLE | UNCONFIRMED | WITHHELD))
+        matches!(
+            self,
+            Self::NotRun(UNREACHABLE | UNCONFIRMED | WITHHELD | NO_PATH)
+        )
     }
 }
 
@@ -224,7 +228,8 @@
         let address = slot.grant.address.clone();
         let time_limit = self.time_left() + LATE_ANSWER_MARGIN;
         let sent_at = Instant::now();
-        let sending = self.node.connections.send(&address, request);
+        let allowed = self.allowed_data_centres.as_deref();
+        let sending = self.node.send_upstream(&address, request, allowed);
         let (response, connection) = match timeout(time_limit, sending).await {
             Ok(Ok(sent)) => sent,
             Ok(Err(SendError::NotSent(error))) => {
@@ -232,6 +237,11 @@
                 slot.end(RunOutcome::Unreachable, RunStats::default());
                 return DispatchOutcome::NotRun(UNREACHABLE);
             }
+            Ok(Err(SendError::NoPath)) => {
+                log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "no node is known that reaches the upstream; its slot is returned");
+                slot.end(RunOutcome::Withheld, RunStats::default());
+                return DispatchOutcome::NotRun(NO_PATH);
+            }
             Ok(Err(SendError::Broken(error))) => {
                 log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, error:%; "upstream broke off");
                 slot.end(RunOutcome::Broken, RunStats::default());
@@ -242,6 +252,9 @@
                 return DispatchOutcome::Unknown("timeout");
             }
         };
+        if let Some(forwarder) = connection.forwarder() {
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, forwarder:% = forwarder.node; "upstream was reached through another node");
+        }
         let facts = self
             .node
             .dialect
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -39,9 +39,12 @@
 mod slots;
 mod stop;
 mod suspicion;
+mod tunnels;
 mod upstream_connections;
+mod upstream_dialer;
 mod upstream_health;
 mod upstream_notices;
+mod upstream_paths;
 mod versioned_list;
 mod views;
 
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -207,3 +207,46 @@
 
 /// Key under which the owner of all services is ranked.
 pub(crate) const OWNERS_KEY: &str = "services";
+
+/// Time after which a direct connection to an upstream that is still being opened is raced by a tunnel. Many round trips
+/// within a region, and short compared with the objectives of callers.
+pub(crate) const TUNNEL_RACE_DELAY: Duration = Duration::from_millis(80);
+
+/// Timeout for opening a tunnel: the timeout of a connection, which the forwarder may use up, and several round trips.
+pub(crate) const TUNNEL_TIMEOUT: Duration = Duration::from_millis(330);
+
+/// Maximum number of nodes that are asked for a tunnel one after the other. At least one of them is outside of this
+/// node's data centre if there are others.
+pub(crate) const MAX_FORWARDERS_TRIED: usize = 4;
+
+/// Tunnels per second that a node opens because direct connections fail or take long, and how many of them at once. A
+/// node that is cut off from all upstreams needs two before it counts as cut off, after which tunnels are not limited.
+pub(crate) const SECOND_OPINIONS_PER_S: f64 = 4.0;
+pub(crate) const SECOND_OPINION_BURST: f64 = 6.0;
+
+/// Number of upstreams that a node can't connect to, although others do, from which it counts as cut off from all.
+pub(crate) const BLOCKED_PATHS_WHEN_CUT_OFF: usize = 2;
+
+/// Interval at which a node that reaches upstreams only through others tries a direct connection.
+pub(crate) const DIRECT_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// How long an answer over a direct connection proves that a node reaches upstreams.
+pub(crate) const PATH_PROOF_TIME: Duration = Duration::from_secs(2);
+
+/// Time for which a node that could not open a tunnel is not asked again.
+pub(crate) const FORWARDER_AVOIDANCE: Duration = Duration::from_secs(1);
+
+/// Silence of all upstreams, while requests wait at [`BLOCKED_PATHS_WHEN_CUT_OFF`] of them, after which a node probes
+/// whether it is cut off. Longer than the pauses of a stream.
+pub(crate) const UPSTREAM_SILENCE: Duration = Duration::from_millis(500);
+
+/// Largest number of tunnels that a node serves, as a share of the connections from callers that it accepts. Each tunnel
+/// takes two descriptors.
+pub(crate) const MAX_TUNNEL_SHARE: f64 = 0.25;
+
+/// Time without bytes after which a tunnel whose last bytes came from the upstream counts as idle when its forwarder
+/// stops. Longer than the pauses of a stream.
+pub(crate) const IDLE_TUNNEL_TIME: Duration = Duration::from_millis(1_000);
+
+/// Interval at which a stopping forwarder checks whether a tunnel is idle.
+pub(crate) const TUNNEL_STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -14,10 +14,12 @@
         },
         settings::MemberRecord,
         suspicion::Suspicions,
+        upstream_dialer::Forwarder,
         versioned_list::{Changes, ListEntry, VersionedList},
     },
     dragonflystep_dispatch::{DataCentreName, Member, MonotonicTime, NodeName, rank_owners},
     dragonflystep_peer::{Network, PeerLink},
+    rand::{Rng, seq::SliceRandom},
     std::{
         cell::{Cell, Ref, RefCell},
         collections::{BTreeMap, HashMap},
@@ -288,6 +290,44 @@
         chosen.iter().map(|record| record.ingress.clone()).collect()
     }
 
+    /// Returns up to `limit` visible nodes for which `is_candidate` is true, drawn at random: those of this data centre
+    /// and others in turn, because a whole data centre may lose its upstreams.
+    pub(crate) fn choose_forwarders(
+        &self,
+        now: MonotonicTime,
+        limit: usize,
+        random: &mut impl Rng,
+        is_candidate: impl Fn(&MemberRecord) -> bool,
+    ) -> Vec<Forwarder> {
+        let peers = self.peers.borrow();
+        let suspicions = self.suspicions.borrow();
+        let (mut near, mut far): (Vec<_>, Vec<_>) = peers
+            .values()
+            .filter(|peer| peer.is_visible(&suspicions, now) && !peer.is_leaving)
+            .map(|peer| &peer.record)
+            .filter(|record| is_candidate(record))
+            .partition(|record| record.data_centre == self.own_record.data_centre);
+        let (near, _) = near.partial_shuffle(random, limit);
+        let (far, _) = far.partial_shuffle(random, limit);
+        let in_turn = (0..limit).flat_map(|index| [near.get(index), far.get(index)]);
+        let chosen = in_turn.flatten().take(limit);
+        chosen
+            .map(|record| Forwarder {
+                node: record.node.clone(),
+                data_centre: record.data_centre.clone(),
+                address: record.peers.clone(),
+            })
+            .collect()
+    }
+
+    /// Whether the last call to a node failed, or it reports that it is stopping, or it is no longer listed.
+    pub(crate) fn is_failed_or_leaving(&self, node: &str) -> bool {
+        let peers = self.peers.borrow();
+        peers
+            .get(node)
+            .is_none_or(|peer| peer.has_failed() || peer.is_leaving)
+    }
+
     /// Nodes with which this one exchanges digests whether or not they are visible: its neighbours, and in a large
     /// system the preferred owners.
     pub(crate) fn direct_partners(&self) -> Vec<NodeName> {
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -22,7 +22,9 @@
         settings::{MemberRecord, NodeSettings},
         stop::StopSignal,
         upstream_connections::UpstreamConnections,
+        upstream_dialer::Forwarder,
         upstream_health::UpstreamHealth,
+        upstream_paths::UpstreamPaths,
         versioned_list::Changes,
         views::Views,
     },
@@ -69,7 +71,11 @@
     pub(crate) owner: Rc<Owner>,
     pub(crate) members: Members,
     pub(crate) entry_runs: EntryRuns,
+    pub(crate) network: Rc<dyn Network>,
     pub(crate) connections: UpstreamConnections,
+    pub(crate) upstream_paths: RefCell<UpstreamPaths>,
+    /// Number of tunnels that this node serves for others.
+    pub(crate) open_tunnels: Cell<usize>,
     pub(crate) upstream_health: UpstreamHealth,
     pub(crate) metrics: Metrics,
     pub(crate) views: Views,
@@ -121,7 +127,9 @@
                 settings.shared_limits.quota.window,
                 settings.is_first_start,
             ),
-            connections: UpstreamConnections::new(network.clone()),
+            connections: UpstreamConnections::default(),
+            upstream_paths: RefCell::default(),
+            open_tunnels: Cell::new(0),
             upstream_health: UpstreamHealth::default(),
             metrics: Metrics::default(),
             views: Views::default(),
@@ -142,6 +150,7 @@
             platform_heard_at: Cell::new(Duration::ZERO),
             platform_up_since: Cell::new(Duration::ZERO),
             last_owner: RefCell::default(),
+            network,
             settings,
             dialect,
         }
@@ -351,6 +360,34 @@
         self.ranked(OWNERS_KEY, limit)
     }
 
+    /// Returns up to `limit` nodes through which upstreams may be reached, those of this data centre and others in turn.
+    /// They are in one of the data centres `allowed`, if there are any.
+    pub(crate) fn forwarders(
+        &self,
+        limit: usize,
+        allowed: Option<&[DataCentreName]>,
+    ) -> Vec<Forwarder> {
+        let now = self.owner.now();
+        let paths = self.upstream_paths.borrow();
+        let is_candidate = |record: &MemberRecord| {
+            !paths.is_avoided(now, &record.node)
+                && allowed.is_none_or(|allowed| allowed.contains(&record.data_centre))
+        };
+        let mut random = self.random.borrow_mut();
+        self.members
+            .choose_forwarders(now, limit, &mut random, is_candidate)
+    }
+
+    /// Whether a request may be sent on an open connection through a forwarder.
+    pub(crate) fn may_use_forwarder(
+        &self,
+        forwarder: &Forwarder,
+        allowed: Option<&[DataCentreName]>,
+    ) -> bool {
+        let is_allowed = allowed.is_none_or(|allowed| allowed.contains(&forwarder.data_centre));
+        is_allowed && !self.members.is_failed_or_leaving(&forwarder.node)
+    }
+
     fn ranked(&self, key: &'static str, limit: usize) -> Vec<NodeName> {
         let now = self.owner.now();
         let is_leaving = self.stop.is_stopping();
@@ -392,6 +429,15 @@
             ("held_bytes", self.held_bytes.held_bytes() as f64),
             ("requests_waiting_here", self.owner.waiting_count() as f64),
             ("services_known", self.owner.service_count() as f64),
+            (
+                "cut_off_from_upstreams",
+                f64::from(u8::from(self.upstream_paths.borrow().is_cut_off())),
+            ),
+            (
+                "upstreams_blocked",
+                self.upstream_paths.borrow().blocked_count() as f64,
+            ),
+            ("tunnels_open", self.open_tunnels.get() as f64),
         ]
     }
 }
--- a/crates/dragonflystep_edge/src/node/run.rs
+++ b/crates/dragonflystep_edge/src/node/run.rs
@@ -13,7 +13,7 @@
         stop::stop,
     },
     dragonflystep_peer::{Network, NetworkListener},
-    std::{future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    std::{collections::HashSet, future::Future, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         task::spawn_local,
         time::{Instant, sleep},
@@ -90,11 +90,12 @@
     loop {
         sleep(CONNECTION_CHECK_INTERVAL).await;
         let registry = node.views.registry();
-        node.connections.retain(|address| {
-            registry
-                .upstreams
-                .iter()
-                .any(|upstream| upstream.address == address)
-        });
+        let upstreams = registry.upstreams.iter();
+        let addresses: HashSet<&str> = upstreams
+            .map(|upstream| upstream.address.as_str())
+            .collect();
+        let is_known = |address: &str| addresses.contains(address);
+        node.connections.retain(is_known);
+        node.upstream_paths.borrow_mut().retain(is_known);
     }
 }
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -3,15 +3,15 @@
 use {
     crate::{
         exchange::exchange_with, list_fetch::fetch_unless_pushed, node::Node,
-        owner::cancelled_report,
+        owner::cancelled_report, tunnels::serve_tunnel,
     },
     dragonflystep_dispatch::{
         ActiveRun, Event, NodeName, RunId, RunReport, ServiceName, SlotDecision, SlotRequest,
         UpstreamLoad, UpstreamNotice, UsageReport,
     },
     dragonflystep_peer::{
-        Digest, ListPiece, ListPieceRequest, NetworkListener, PeerHandler, SlotDecisionFuture,
-        serve_peer,
+        Digest, ListPiece, ListPieceRequest, NetworkListener, PeerHandler, RequestedTunnel,
+        SlotDecisionFuture, TunnelFuture, TunnelTarget, serve_peer,
     },
     std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::sleep},
@@ -126,6 +126,10 @@
         let unavailable = self.node.members.all_unavailable(self.node.owner.now());
         self.node.digest_for(&digest, unavailable)
     }
+
+    fn serve_tunnel(&self, target: TunnelTarget, tunnel: RequestedTunnel) -> TunnelFuture {
+        Box::pin(serve_tunnel(self.node.clone(), target, tunnel))
+    }
 }
 
 impl Drop for PeerSession {
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -171,6 +171,10 @@
             };
             match frame {
                 Some(Ok(frame)) => {
+                    if self.connection.is_direct() {
+                        let now = job.node.owner.now();
+                        job.node.upstream_paths.borrow_mut().record_heard(now);
+                    }
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -154,7 +154,7 @@
     if expected_bytes > max_bytes as u64 {
         return Err(too_large());
     }
-    let reading = timeout_at(deadline.into(), read_frames(node, body, max_bytes));
+    let reading = timeout_at(deadline, read_frames(node, body, max_bytes));
     match reading.await {
         Ok(read) => read,
         Err(_) => Err(LocalReply::new(StatusCode::REQUEST_TIMEOUT, "slow_body")),
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -1,9 +1,13 @@
 //! Connections to upstreams. A connection whose answer was read whole is kept in a pool for the next request.
 
 use {
-    crate::limits::{DEFAULT_KEEP_ALIVE, MAX_IDLE_CONNECTIONS, USABLE_KEEP_ALIVE_SHARE},
+    crate::{
+        limits::{DEFAULT_KEEP_ALIVE, MAX_IDLE_CONNECTIONS, USABLE_KEEP_ALIVE_SHARE},
+        node::Node,
+        upstream_dialer::{DialError, Dialed, Forwarder, dial},
+    },
     bytes::Bytes,
-    dragonflystep_peer::Network,
+    dragonflystep_dispatch::DataCentreName,
     http::{Request, Response},
     http_body_util::Full,
     hyper::{
@@ -21,60 +25,62 @@
     /// No connection could be opened, or it closed before anything was sent.
     #[error("the request was not sent: {0}")]
     NotSent(io::Error),
+    /// Neither this node nor another one that it asked reaches upstreams. Nothing was sent.
+    #[error("the request was not sent: no node is known that reaches upstreams")]
+    NoPath,
     /// The connection broke after the request, or a part of it, was sent; it may run.
     #[error("connection broke: {0}")]
     Broken(hyper::Error),
 }
 
+impl From<DialError> for SendError {
+    fn from(error: DialError) -> Self {
+        match error {
+            DialError::Unreachable(error) => Self::NotSent(error),
+            DialError::NoPath => Self::NoPath,
+        }
+    }
+}
+
 /// A connection in use by a request.
 pub(crate) struct OpenConnection {
     address: String,
     sender: SendRequest<Full<Bytes>>,
+    /// The node through which it goes; none if it is direct.
+    forwarder: Option<Forwarder>,
+}
+
+impl OpenConnection {
+    /// Whether the upstream is reached without another node.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.forwarder.is_none()
+    }
+
+    /// The node through which the upstream is reached; none if it is reached directly.
+    pub(crate) fn forwarder(&self) -> Option<&Forwarder> {
+        self.forwarder.as_ref()
+    }
 }
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: OpenConnection,
     /// When the connection is no longer used, some time before the upstream closes it.
     usable_until: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.usable_until > now && !self.connection.sender.is_closed()
+    }
+}
+
 /// The pool of idle connections, by address of the upstream.
+#[derive(Default)]
 pub(crate) struct UpstreamConnections {
-    network: Rc<dyn Network>,
     idle: RefCell<HashMap<String, Vec<IdleConnection>>>,
 }
 
 impl UpstreamConnections {
-    pub(crate) fn new(network: Rc<dyn Network>) -> Self {
-        Self {
-            network,
-            idle: RefCell::default(),
-        }
-    }
-
-    /// Sends a request on an idle connection or, if there is none that still works, on a new one.
-    pub(crate) async fn send(
-        &self,
-        address: &str,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, OpenConnection), SendError> {
-        while let Some(sender) = self.take_idle(address) {
-            match try_send(sender, request).await {
-                Ok((response, sender)) => return Ok((response, open_connection(address, sender))),
-                Err(TrySendError::Unsent(unsent)) => request = *unsent,
-                Err(TrySendError::Broken(error)) => return Err(SendError::Broken(error)),
-            }
-        }
-        let sender = self.connect(address).await.map_err(SendError::NotSent)?;
-        match try_send(sender, request).await {
-            Ok((response, sender)) => Ok((response, open_connection(address, sender))),
-            Err(TrySendError::Unsent(_)) => {
-                Err(SendError::NotSent(io::ErrorKind::ConnectionReset.into()))
-            }
-            Err(TrySendError::Broken(error)) => Err(SendError::Broken(error)),
-        }
-    }
-
     /// Returns a connection to the pool after its answer was read whole. It stays usable for a part of the idle time
     /// that the upstream permits, or of a default.
     pub(crate) fn keep(&self, connection: OpenConnection, keep_alive: Option<Duration>) {
@@ -83,13 +89,12 @@
         }
         let idle_time = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(connection.address).or_default();
+        let connections = idle.entry(connection.address.clone()).or_default();
         let now = Instant::now();
-        connections
-            .retain(|connection| connection.usable_until > now && !connection.sender.is_closed());
+        connections.retain(|connection| connection.is_usable(now));
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(IdleConnection {
-                sender: connection.sender,
+                connection,
                 usable_until: now + idle_time.mul_f64(USABLE_KEEP_ALIVE_SHARE),
             });
         }
@@ -99,46 +104,110 @@
     pub(crate) fn retain(&self, is_known: impl Fn(&str) -> bool) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|address, connections| {
-            connections.retain(|connection| {
-                connection.usable_until > now && !connection.sender.is_closed()
-            });
+            connections.retain(|connection| connection.is_usable(now));
             !connections.is_empty() && is_known(address)
         });
     }
 
-    async fn connect(&self, address: &str) -> io::Result<SendRequest<Full<Bytes>>> {
-        let stream = self.network.connect(address).await?;
-        let (sender, connection) = Builder::new()
-            .title_case_headers(true)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
-        spawn_local(async move {
-            if let Err(error) = connection.await {
-                log::debug!("a connection to an upstream ended with an error: {error}");
-            }
-        });
-        Ok(sender)
+    /// Closes the idle connections to an address.
+    pub(crate) fn close_idle(&self, address: &str) {
+        self.idle.borrow_mut().remove(address);
     }
 
-    /// Takes a usable idle connection from the pool, the latest first.
-    fn take_idle(&self, address: &str) -> Option<SendRequest<Full<Bytes>>> {
+    /// Closes all idle connections that are direct.
+    pub(crate) fn close_all_idle_direct(&self) {
+        self.close_idle_where(OpenConnection::is_direct);
+    }
+
+    /// Closes all idle connections that go through other nodes.
+    pub(crate) fn close_idle_tunnels(&self) {
+        self.close_idle_where(|connection| !connection.is_direct());
+    }
+
+    fn close_idle_where(&self, is_closed: impl Fn(&OpenConnection) -> bool) {
+        for connections in self.idle.borrow_mut().values_mut() {
+            connections.retain(|idle| !is_closed(&idle.connection));
+        }
+    }
+
+    /// Takes a usable idle connection for which `may_use` is true from the pool, the latest first.
+    fn take_idle(
+        &self,
+        address: &str,
+        may_use: impl Fn(&OpenConnection) -> bool,
+    ) -> Option<OpenConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
         let now = Instant::now();
-        while let Some(connection) = connections.pop() {
-            if connection.usable_until > now && connection.sender.is_ready() {
-                return Some(connection.sender);
+        connections.retain(|connection| connection.is_usable(now));
+        let is_candidate =
+            |idle: &IdleConnection| idle.connection.sender.is_ready() && may_use(&idle.connection);
+        let index = connections.iter().rposition(is_candidate)?;
+        Some(connections.remove(index).connection)
+    }
+}
+
+impl Node {
+    /// Sends a request on an idle connection or, if there is none that still works, on a new one. If the connection goes
+    /// through another node, that node is in one of the data centres `allowed`, if there are any.
+    pub(crate) async fn send_upstream(
+        self: &Rc<Self>,
+        address: &str,
+        mut request: Request<Full<Bytes>>,
+        allowed: Option<&[DataCentreName]>,
+    ) -> Result<(Response<Incoming>, OpenConnection), SendError> {
+        let may_use = |connection: &OpenConnection| match connection.forwarder() {
+            None => true,
+            Some(forwarder) => self.may_use_forwarder(forwarder, allowed),
+        };
+        while let Some(connection) = self.connections.take_idle(address, may_use) {
+            match self.try_send(connection, request).await {
+                Ok(answered) => return Ok(answered),
+                Err(TrySendError::Unsent(unsent)) => request = *unsent,
+                Err(TrySendError::Broken(error)) => return Err(SendError::Broken(error)),
+            }
+        }
+        let dialed = dial(self, address, allowed).await?;
+        let connection = open_http(address, dialed)
+            .await
+            .map_err(SendError::NotSent)?;
+        match self.try_send(connection, request).await {
+            Ok(answered) => Ok(answered),
+            Err(TrySendError::Unsent(_)) => {
+                Err(SendError::NotSent(io::ErrorKind::ConnectionReset.into()))
             }
+            Err(TrySendError::Broken(error)) => Err(SendError::Broken(error)),
         }
-        None
     }
-}
 
-fn open_connection(address: &str, sender: SendRequest<Full<Bytes>>) -> OpenConnection {
-    OpenConnection {
-        address: address.to_owned(),
-        sender,
+    /// Adds a new connection to the pool.
+    pub(crate) async fn keep_new_connection(&self, address: &str, dialed: Dialed) {
+        match open_http(address, dialed).await {
+            Ok(connection) => self.connections.keep(connection, None),
+            Err(error) => {
+                log::debug!(address, error:%; "a new connection to an upstream broke");
+            }
+        }
+    }
+
+    async fn try_send(
+        &self,
+        mut connection: OpenConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, OpenConnection), TrySendError> {
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => {
+                if connection.is_direct() {
+                    let mut paths = self.upstream_paths.borrow_mut();
+                    paths.record_answer(self.owner.now(), &connection.address);
+                }
+                Ok((response, connection))
+            }
+            Err(mut error) => Err(match error.take_message() {
+                Some(unsent) => TrySendError::Unsent(Box::new(unsent)),
+                None => TrySendError::Broken(error.into_error()),
+            }),
+        }
     }
 }
 
@@ -150,15 +219,21 @@
     Broken(hyper::Error),
 }
 
-async fn try_send(
-    mut sender: SendRequest<Full<Bytes>>,
-    request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>), TrySendError> {
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok((response, sender)),
-        Err(mut error) => Err(match error.take_message() {
-            Some(unsent) => TrySendError::Unsent(Box::new(unsent)),
-            None => TrySendError::Broken(error.into_error()),
-        }),
-    }
+/// Sets up HTTP over a new connection.
+async fn open_http(address: &str, dialed: Dialed) -> io::Result<OpenConnection> {
+    let (sender, connection) = Builder::new()
+        .title_case_headers(true)
+        .handshake(TokioIo::new(dialed.stream))
+        .await
+        .map_err(io::Error::other)?;
+    spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a connection to an upstream ended with an error: {error}");
+        }
+    });
+    Ok(OpenConnection {
+        address: address.to_owned(),
+        sender,
+        forwarder: dialed.forwarder,
+    })
 }
--- /dev/null
+++ b/crates/dragonflystep_edge/src/upstream_dialer.rs
@@ -0,0 +1,292 @@
+//! Connects to upstreams, directly or by a tunnel through another node.
+//!
+//! A direct connection that takes long is raced by a tunnel, as in Happy Eyeballs (RFC 8305), and one that fails is
+//! checked by a tunnel. Which way is tried first is decided in `upstream_paths.rs`.
+
+use {
+    crate::{
+        limits::{MAX_FORWARDERS_TRIED, TUNNEL_RACE_DELAY, TUNNEL_TIMEOUT},
+        node::Node,
+        upstream_paths::Way,
+    },
+    dragonflystep_dispatch::{DataCentreName, NodeName},
+    dragonflystep_peer::{NetworkStream, TunnelError, TunnelRefusal, open_tunnel},
+    std::{future::Future, io, pin::Pin, rc::Rc},
+    tokio::{task::spawn_local, time::timeout},
+};
+
+/// Another node through which an upstream is reached.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Forwarder {
+    pub(crate) node: NodeName,
+    pub(crate) data_centre: DataCentreName,
+    /// Address at which it listens for other nodes, as IP:PORT.
+    pub(crate) address: String,
+}
+
+/// A new connection to an upstream.
+pub(crate) struct Dialed {
+    pub(crate) stream: Box<dyn NetworkStream>,
+    /// The node through which it goes; none if it is direct.
+    pub(crate) forwarder: Option<Forwarder>,
+}
+
+/// Why an upstream could not be connected to. Nothing was sent to it.
+#[derive(Debug)]
+pub(crate) enum DialError {
+    /// The upstream can't be reached, not even by nodes that reach others.
+    Unreachable(io::Error),
+    /// Neither this node nor another one it asked reaches upstreams; this says nothing about the upstream.
+    NoPath,
+}
+
+/// Connects to the upstream at an address. A tunnel goes only through nodes in the data centres `allowed`, if there are
+/// any, since the forwarder sees the request.
+pub(crate) async fn dial(
+    node: &Rc<Node>,
+    address: &str,
+    allowed: Option<&[DataCentreName]>,
+) -> Result<Dialed, DialError> {
+    let way = node
+        .upstream_paths
+        .borrow_mut()
+        .choose(node.owner.now(), address);
+    let result = match way {
+        Way::Direct => dial_directly(node, address, allowed).await,
+        Way::Tunnel { is_probe_due } => {
+            if is_probe_due {
+                spawn_local(probe(node.clone(), address.to_owned()));
+            }
+            let tunnel = open_any_tunnel(node, address, allowed).await;
+            tunnel.map_err(|verdict| node.judge(address, verdict, io::ErrorKind::TimedOut.into()))
+        }
+    };
+    let kind = match &result {
+        Ok(Dialed {
+            forwarder: None, ..
+        }) => "direct",
+        Ok(_) => "tunnel",
+        Err(DialError::Unreachable(_)) => "unreachable",
+        Err(DialError::NoPath) => "no_path",
+    };
+    node.metrics.count("upstream_connections_total", kind);
+    result
+}
+
+/// Opens a direct connection. If it takes long or fails, a tunnel is opened as well.
+async fn dial_directly(
+    node: &Rc<Node>,
+    address: &str,
+    allowed: Option<&[DataCentreName]>,
+) -> Result<Dialed, DialError> {
+    let (network, target) = (node.network.clone(), address.to_owned());
+    let mut direct: DirectAttempt = Box::pin(async move { network.connect(&target).await });
+    let early_result = timeout(TUNNEL_RACE_DELAY, &mut direct).await;
+    if let Ok(Ok(stream)) = early_result {
+        return Ok(node.direct_connection(address, stream));
+    }
+    let now = node.owner.now();
+    let may_open_tunnel = node.upstream_paths.borrow_mut().take_second_opinion(now);
+    match (early_result, may_open_tunnel) {
+        (Err(_), true) => race_with_tunnel(node, address, allowed, direct).await,
+        (Err(_), false) => match direct.await {
+            Ok(stream) => Ok(node.direct_connection(address, stream)),
+            Err(error) => Err(node.judge(address, None, error)),
+        },
+        (Ok(Err(error)), true) => dial_after_failure(node, address, allowed, error).await,
+        (Ok(Err(error)), false) => Err(node.judge(address, None, error)),
+        (Ok(Ok(stream)), _) => Ok(node.direct_connection(address, stream)),
+    }
+}
+
+/// An attempt to connect directly that is still in progress.
+type DirectAttempt = Pin<Box<dyn Future<Output = io::Result<Box<dyn NetworkStream>>>>>;
+
+/// Opens a tunnel beside a direct attempt that takes long, and uses whichever succeeds first.
+async fn race_with_tunnel(
+    node: &Rc<Node>,
+    address: &str,
+    allowed: Option<&[DataCentreName]>,
+    mut direct: DirectAttempt,
+) -> Result<Dialed, DialError> {
+    let verdict = tokio::select! {
+        biased;
+        result = &mut direct => match result {
+            Ok(stream) => return Ok(node.direct_connection(address, stream)),
+            Err(error) => return dial_after_failure(node, address, allowed, error).await,
+        },
+        tunnel = open_any_tunnel(node, address, allowed) => match tunnel {
+            Ok(dialed) => {
+                // Whether the direct attempt fails or is only slow shows later.
+                let (node, address) = (node.clone(), address.to_owned());
+                spawn_local(async move { node.finish_probe(&address, direct.await) });
+                return Ok(dialed);
+            }
+            Err(verdict) => verdict,
+        },
+    };
+    match direct.await {
+        Ok(stream) => Ok(node.direct_connection(address, stream)),
+        Err(error) => Err(node.judge(address, verdict, error)),
+    }
+}
+
+/// Opens a tunnel after a direct connection failed with `error`.
+async fn dial_after_failure(
+    node: &Rc<Node>,
+    address: &str,
+    allowed: Option<&[DataCentreName]>,
+    error: io::Error,
+) -> Result<Dialed, DialError> {
+    match open_any_tunnel(node, address, allowed).await {
+        Ok(dialed) => {
+            node.record_blocked(address);
+            Ok(dialed)
+        }
+        Err(verdict) => Err(node.judge(address, verdict, error)),
+    }
+}
+
+/// Opens a tunnel through one of a few other nodes. Otherwise returns what one of them says about the upstream, if any
+/// does.
+async fn open_any_tunnel(
+    node: &Rc<Node>,
+    address: &str,
+    allowed: Option<&[DataCentreName]>,
+) -> Result<Dialed, Option<TunnelRefusal>> {
+    for forwarder in node.forwarders(MAX_FORWARDERS_TRIED, allowed) {
+        let name = &node.settings.node;
+        let network = &*node.network;
+        let opening = open_tunnel(network, &forwarder.address, name, address, TUNNEL_TIMEOUT);
+        let error = match opening.await {
+            Ok(stream) => {
+                return Ok(Dialed {
+                    stream,
+                    forwarder: Some(forwarder),
+                });
+            }
+            Err(error) => error,
+        };
+        log::info!(forwarder:% = forwarder.node, address, error:%; "no tunnel to an upstream through another node");
+        match error {
+            TunnelError::Refused(TunnelRefusal::Unreachable) => {
+                return Err(Some(TunnelRefusal::Unreachable));
+            }
+            TunnelError::Refused(TunnelRefusal::UnknownUpstream) => {}
+            TunnelError::Refused(TunnelRefusal::NoPath | TunnelRefusal::Busy)
+            | TunnelError::Forwarder(_) => {
+                let mut paths = node.upstream_paths.borrow_mut();
+                paths.avoid_forwarder(node.owner.now(), &forwarder.node);
+            }
+        }
+    }
+    Err(None)
+}
+
+/// Tries a direct connection, to notice when it works again, and keeps it for the next request.
+async fn probe(node: Rc<Node>, address: String) {
+    let result = node.network.connect(&address).await;
+    match result {
+        Ok(stream) => node.finish_probe(&address, Ok(stream)),
+        Err(error) => log::debug!(address, error:%; "an upstream can't be reached directly yet"),
+    }
+}
+
+/// Connects to upstreams at which requests wait while all upstreams are silent, to notice whether this node is cut off
+/// from them.
+pub(crate) fn probe_silent_upstreams(node: &Rc<Node>) {
+    let runs = node.entry_runs.runs.borrow();
+    let waiting = runs
+        .values()
+        .map(|run| (run.upstream.clone(), run.started_at));
+    let silent = node
+        .upstream_paths
+        .borrow_mut()
+        .silent_upstreams(node.owner.now(), waiting);
+    if silent.is_empty() {
+        return;
+    }
+    node.metrics.count("upstream_silence_probes_total", "all");
+    let registry = node.views.registry();
+    let upstreams = registry.upstreams.iter();
+    for upstream in upstreams.filter(|upstream| silent.contains(&upstream.id)) {
+        spawn_local(dial_and_keep(node.clone(), upstream.address.clone()));
+    }
+}
+
+/// Opens a connection for the next request.
+async fn dial_and_keep(node: Rc<Node>, address: String) {
+    match dial(&node, &address, None).await {
+        Ok(dialed) => node.keep_new_connection(&address, dialed).await,
+        Err(error) => log::debug!(address, error:?; "a silent upstream could not be reached"),
+    }
+}
+
+impl Node {
+    fn direct_connection(&self, address: &str, stream: Box<dyn NetworkStream>) -> Dialed {
+        self.record_connected(address);
+        Dialed {
+            stream,
+            forwarder: None,
+        }
+    }
+
+    /// Records that a direct connection was opened.
+    pub(crate) fn record_connected(&self, address: &str) {
+        let now = self.owner.now();
+        let cut_off_since = self
+            .upstream_paths
+            .borrow_mut()
+            .record_connected(now, address);
+        if let Some(since) = cut_off_since {
+            self.connections.close_idle_tunnels();
+            log::info!(cut_off_for_ms = now.saturating_sub(since).as_millis() as u64; "this node reaches upstreams directly again");
+        }
+    }
+
+    /// Records that another node reaches an upstream to which this node can't connect.
+    fn record_blocked(&self, address: &str) {
+        // Connections from before may hang.
+        self.connections.close_idle(address);
+        let now = self.owner.now();
+        let is_cut_off_now = self
+            .upstream_paths
+            .borrow_mut()
+            .record_blocked(now, address);
+        log::info!(address; "an upstream is reached only through other nodes");
+        if is_cut_off_now {
+            self.connections.close_all_idle_direct();
+            self.metrics.count("upstream_cuts_total", "all");
+            log::warn!(
+                "this node reaches no upstream directly; it connects to them through other nodes"
+            );
+        }
+    }
+
+    /// Records how a direct connection ended that was raced by a tunnel or tried in addition to one.
+    fn finish_probe(self: &Rc<Self>, address: &str, result: io::Result<Box<dyn NetworkStream>>) {
+        match result {
+            Ok(stream) => {
+                let (node, address) = (self.clone(), address.to_owned());
+                let dialed = self.direct_connection(&address, stream);
+                spawn_local(async move { node.keep_new_connection(&address, dialed).await });
+            }
+            Err(error) => {
+                log::debug!(address, error:%; "a direct connection failed while another node reached the upstream");
+                self.record_blocked(address);
+            }
+        }
+    }
+
+    /// Decides what a failed connection means: `verdict` is what a forwarder says, `error` what the direct attempt does.
+    fn judge(&self, address: &str, verdict: Option<TunnelRefusal>, error: io::Error) -> DialError {
+        let paths = self.upstream_paths.borrow();
+        let is_confirmed = verdict == Some(TunnelRefusal::Unreachable)
+            || paths.reaches_others(self.owner.now(), address);
+        if is_confirmed {
+            DialError::Unreachable(error)
+        } else {
+            DialError::NoPath
+        }
+    }
+}
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -125,7 +125,7 @@
         request.headers_mut().insert(header::HOST, host);
     }
     let sent_at = Instant::now();
-    let (response, connection) = node.connections.send(&grant.address, request).await?;
+    let (response, connection) = node.send_upstream(&grant.address, request, None).await?;
     let (head, body) = response.into_parts();
     body.collect().await?;
     let facts = node.dialect.read_answer(head.status, &head.headers);
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -5,6 +5,8 @@
 //! to each node that it calls. A request for a slot is a single call that is answered once the owner has
 //! granted or refused the slot; dropping the call withdraws the request. The schema is in
 //! `schema/peer.capnp`.
+//!
+//! A node that can't reach an upstream connects to it through another node ([`open_tunnel`]).
 
 mod codec;
 mod error;
@@ -14,6 +16,7 @@
 mod notice_codec;
 mod server;
 mod sockets;
+mod tunnel;
 
 use generated::peer_capnp;
 
@@ -23,6 +26,10 @@
     network::{ListenerFuture, Network, NetworkListener, NetworkStream, StreamFuture, TcpNetwork},
     server::{PeerHandler, SlotDecisionFuture, serve_peer},
     sockets::{KeepaliveLimits, configure_stream},
+    tunnel::{
+        RequestedTunnel, TunnelEnd, TunnelError, TunnelFuture, TunnelRefusal, TunnelTarget,
+        open_tunnel,
+    },
 };
 
 use {
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -246,7 +246,7 @@
             address: self.address.clone(),
             source,
         })?;
-        let mut system = RpcSystem::new(vat_network(stream, Side::Client), None);
+        let mut system = RpcSystem::new(vat_network(Vec::new(), stream, Side::Client), None);
         let client: peer::Client = system.bootstrap(Side::Server);
         let task = spawn_local(async move {
             if let Err(error) = system.await {
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        Digest, ListPiece, ListPieceRequest, NetworkStream, PeerError,
+        Digest, ListPiece, ListPieceRequest, NetworkStream, PeerError, RequestedTunnel,
+        TunnelFuture, TunnelTarget,
         codec::{
             decode_active_run, decode_digest, decode_list_piece_request, decode_load,
             decode_run_report, decode_slot_request, decode_usage, encode_digest, encode_list_piece,
@@ -10,6 +11,7 @@
         },
         notice_codec::decode_notices,
         peer_capnp::peer,
+        tunnel::PREAMBLE,
     },
     capnp::capability::Promise,
     capnp_rpc::{RpcSystem, new_client, pry, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
@@ -17,8 +19,13 @@
         ActiveRun, RunReport, SlotDecision, SlotRequest, UpstreamLoad, UpstreamNotice, UsageReport,
     },
     futures::io::{BufReader, BufWriter},
-    std::{future::Future, pin::Pin, rc::Rc},
-    tokio::io::{ReadHalf, WriteHalf, split},
+    std::{
+        future::Future,
+        io::{self, Cursor},
+        pin::Pin,
+        rc::Rc,
+    },
+    tokio::io::{AsyncReadExt, Chain, ReadHalf, WriteHalf, split},
     tokio_util::compat::{Compat, TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
 
@@ -50,29 +57,59 @@
 
     /// Takes the calling node's digest and returns the digest of this node.
     fn exchange(&self, digest: Digest) -> Digest;
+
+    /// Opens or refuses a tunnel, and serves it until it ends.
+    fn serve_tunnel(&self, target: TunnelTarget, tunnel: RequestedTunnel) -> TunnelFuture;
 }
 
 /// Buffer size for each direction of a connection, in bytes; a call takes a few hundred.
 pub(crate) const BUFFER_BYTES: usize = 2048;
 
-/// Serves one connection from another node until it ends.
-pub async fn serve_peer(stream: Box<dyn NetworkStream>, handler: Rc<dyn PeerHandler>) {
-    let network = vat_network(stream, Side::Server);
-    let client: peer::Client = new_client(RpcService { handler });
-    if let Err(error) = RpcSystem::new(network, Some(client.client)).await {
+/// Serves one connection from another node until it ends: calls, or a tunnel.
+pub async fn serve_peer(mut stream: Box<dyn NetworkStream>, handler: Rc<dyn PeerHandler>) {
+    // A connection for calls begins with a message that is longer than the preamble of a tunnel.
+    let mut first_bytes = [0; PREAMBLE.len()];
+    let result = match stream.read_exact(&mut first_bytes).await {
+        Ok(_) if first_bytes == PREAMBLE => serve_tunnel(stream, handler).await,
+        Ok(_) => serve_calls(first_bytes.to_vec(), stream, handler).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
         log::debug!("a connection from another node ended: {error}");
     }
 }
 
-/// Buffered reading half of a connection.
-type StreamReader = BufReader<Compat<ReadHalf<Box<dyn NetworkStream>>>>;
+async fn serve_tunnel(
+    stream: Box<dyn NetworkStream>,
+    handler: Rc<dyn PeerHandler>,
+) -> io::Result<()> {
+    let (tunnel, target) = RequestedTunnel::receive(stream).await?;
+    handler.serve_tunnel(target, tunnel).await;
+    Ok(())
+}
+
+async fn serve_calls(
+    first_bytes: Vec<u8>,
+    stream: Box<dyn NetworkStream>,
+    handler: Rc<dyn PeerHandler>,
+) -> io::Result<()> {
+    let network = vat_network(first_bytes, stream, Side::Server);
+    let client: peer::Client = new_client(RpcService { handler });
+    let system = RpcSystem::new(network, Some(client.client));
+    system.await.map_err(io::Error::other)
+}
+
+/// Buffered reading half of a connection, after the bytes of it that were read before.
+type StreamReader = BufReader<Compat<Chain<Cursor<Vec<u8>>, ReadHalf<Box<dyn NetworkStream>>>>>;
 
-/// Sets up the Cap'n Proto RPC transport over a connection.
+/// Sets up the Cap'n Proto RPC transport over a connection of which `first_bytes` were read already.
 pub(crate) fn vat_network(
+    first_bytes: Vec<u8>,
     stream: Box<dyn NetworkStream>,
     side: Side,
 ) -> Box<VatNetwork<StreamReader>> {
     let (read, write): (_, WriteHalf<_>) = split(stream);
+    let read = Cursor::new(first_bytes).chain(read);
     Box::new(VatNetwork::new(
         BufReader::with_capacity(BUFFER_BYTES, read.compat()),
         BufWriter::with_capacity(BUFFER_BYTES, write.compat_write()),
--- /dev/null
+++ b/crates/dragonflystep_peer/tests/tunnel.rs
@@ -0,0 +1,196 @@
+//! Guards against an answer that ends with its connection looking complete although the tunnel broke.
+
+use {
+    dragonflystep_dispatch::{
+        ActiveRun, RunReport, SlotRequest, UpstreamLoad, UpstreamNotice, UsageReport,
+    },
+    dragonflystep_peer::{
+        Digest, ListPiece, ListPieceRequest, Network, PeerHandler, RequestedTunnel,
+        SlotDecisionFuture, TcpNetwork, TunnelError, TunnelFuture, TunnelRefusal, TunnelTarget,
+        open_tunnel, serve_peer,
+    },
+    std::{
+        cell::Cell,
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        task::{JoinHandle, LocalSet, spawn_local},
+    },
+};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// What the upstream does after it has read a line.
+#[derive(Clone, Copy)]
+enum Upstream {
+    /// It answers and closes the connection.
+    Closes,
+    /// It answers and keeps the connection open.
+    KeepsOpen,
+    /// It answers and resets the connection.
+    Resets,
+}
+
+/// Serves tunnels only.
+struct Forwarder {
+    refusal: Option<TunnelRefusal>,
+    opened: Cell<u32>,
+}
+
+impl PeerHandler for Forwarder {
+    fn request_slot(&self, _: SlotRequest) -> SlotDecisionFuture {
+        unreachable!("no calls are made")
+    }
+
+    fn report_run_end(&self, _: RunReport) {}
+
+    fn adopt_runs(&self, _: Vec<ActiveRun>) {}
+
+    fn report_usage(&self, _: UsageReport) {}
+
+    fn report_load(&self, _: UpstreamLoad) {}
+
+    fn share_notices(&self, _: Vec<UpstreamNotice>) {}
+
+    fn fetch_list_piece(&self, _: ListPieceRequest) -> ListPiece {
+        ListPiece::default()
+    }
+
+    fn exchange(&self, digest: Digest) -> Digest {
+        digest
+    }
+
+    fn serve_tunnel(&self, target: TunnelTarget, tunnel: RequestedTunnel) -> TunnelFuture {
+        assert_eq!(&*target.opener, "opener");
+        self.opened.set(self.opened.get() + 1);
+        let refusal = self.refusal;
+        Box::pin(async move {
+            if let Some(refusal) = refusal {
+                tunnel.refuse(refusal).await.expect("the opener reads it");
+                return;
+            }
+            let upstream = TcpNetwork.connect(&target.upstream).await;
+            // A tunnel that breaks is what some of the tests are about.
+            let _ = tunnel
+                .forward(upstream.expect("the upstream listens"), |_| {})
+                .await;
+        })
+    }
+}
+
+async fn start_upstream(behaviour: Upstream) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a port");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 5];
+        stream.read_exact(&mut request).await.expect("the request");
+        stream.write_all(b"answer").await.expect("the tunnel reads");
+        match behaviour {
+            Upstream::Closes => {}
+            Upstream::KeepsOpen => std::future::pending().await,
+            Upstream::Resets => {
+                // The answer arrives before the reset.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                stream.set_zero_linger().expect("a socket option");
+            }
+        }
+    });
+    address
+}
+
+/// Starts a forwarder for one connection; aborting the task kills it.
+async fn start_forwarder(refusal: Option<TunnelRefusal>) -> (String, JoinHandle<()>) {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(any).await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let task = spawn_local(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let forwarder = Rc::new(Forwarder {
+            refusal,
+            opened: Cell::new(0),
+        });
+        serve_peer(Box::new(stream), forwarder).await;
+    });
+    (address, task)
+}
+
+/// Sends a request through a tunnel and reads until the end; `kill` kills the forwarder once the answer has arrived.
+async fn exchange(behaviour: Upstream, kill: bool) -> (Vec<u8>, io::Result<usize>) {
+    let upstream = start_upstream(behaviour).await.to_string();
+    let (forwarder, task) = start_forwarder(None).await;
+    let tunnel = open_tunnel(&TcpNetwork, &forwarder, "opener", &upstream, LIMIT).await;
+    let mut tunnel = tunnel.expect("a tunnel");
+    tunnel
+        .write_all(b"hello")
+        .await
+        .expect("the tunnel is open");
+    let mut answer = vec![0; 6];
+    tunnel.read_exact(&mut answer).await.expect("the answer");
+    if kill {
+        task.abort();
+    }
+    let mut rest = Vec::new();
+    let end = tunnel.read_to_end(&mut rest).await;
+    (answer, end)
+}
+
+fn in_local_set(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn a_connection_that_the_upstream_closes_ends_cleanly() {
+    in_local_set(async {
+        let (answer, end) = exchange(Upstream::Closes, false).await;
+        assert_eq!(answer, b"answer");
+        assert_eq!(end.expect("a clean end"), 0);
+    });
+}
+
+#[test]
+fn a_connection_that_the_upstream_resets_ends_with_an_error() {
+    in_local_set(async {
+        let (_, end) = exchange(Upstream::Resets, false).await;
+        end.expect_err("the connection was reset");
+    });
+}
+
+#[test]
+fn a_tunnel_whose_forwarder_is_killed_ends_with_an_error() {
+    in_local_set(async {
+        let (_, end) = exchange(Upstream::KeepsOpen, true).await;
+        end.expect_err("the forwarder was killed");
+    });
+}
+
+#[test]
+fn a_refusal_reaches_the_opener() {
+    in_local_set(async {
+        for refusal in [
+            TunnelRefusal::Unreachable,
+            TunnelRefusal::NoPath,
+            TunnelRefusal::Busy,
+            TunnelRefusal::UnknownUpstream,
+        ] {
+            let (forwarder, _task) = start_forwarder(Some(refusal)).await;
+            let tunnel = open_tunnel(&TcpNetwork, &forwarder, "opener", "10.0.0.1:1", LIMIT).await;
+            let error = tunnel.err().expect("a refusal");
+            assert!(
+                matches!(error, TunnelError::Refused(received) if received == refusal),
+                "{error}"
+            );
+        }
+    });
+}
