--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -295,6 +295,11 @@
         self.notices.rate_limit(upstream)
     }
 
+    /// Returns the number of rejections per second, of requests of all nodes together, that an upstream stated to bear.
+    pub fn rejection_limit(&self, upstream: &UpstreamId) -> Option<f64> {
+        self.notices.rejection_limit(upstream)
+    }
+
     /// Whether an upstream announced that it is leaving.
     pub fn is_leaving(&self, upstream: &UpstreamId) -> bool {
         self.notices.is_leaving(upstream)
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod quota;
 mod refusal;
 mod refused_requests;
+mod rejection_guard;
 mod requested_back_off;
 mod retry_budget;
 mod rollout;
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -130,6 +130,19 @@
 /// they hold less than half of the nodes, and each grants [`MINORITY_LIMIT_SHARE`] of its fraction.
 pub(crate) const ALL_MINORITIES_QUOTA_SHARE: f64 = MINORITY_LIMIT_SHARE / 2.0;
 
+/// Window in which an upstream counts its rejections against the number that it bears.
+pub(crate) const REJECTION_WINDOW: Duration = Duration::from_millis(1_100);
+
+/// Time within which an owner usually learns that an upstream rejected a request; several round trips.
+pub(crate) const REJECTION_REPORT_TIME: Duration = Duration::from_millis(25);
+
+/// Share of the rejections that an upstream bears which all owners together use. The rest is for requests that were on
+/// their way when the first of them was rejected.
+pub(crate) const REJECTION_LIMIT_USE: f64 = 0.5;
+
+/// Longest time for which an upstream is assumed to go on working on a cancelled run. Most upstreams drop it at once.
+pub(crate) const MAX_LINGERING_TIME: Duration = Duration::from_secs(1);
+
 /// Assumed size of the prefix cache of an upstream whose engine is not configured, in tokens.
 pub(crate) const DEFAULT_CACHE_TOKENS: u64 = 400_000;
 
@@ -174,8 +187,8 @@
 /// Number of nodes that an upstream has to refuse at the same time to count as refusing all nodes.
 pub(crate) const MIN_REFUSED_NODES: usize = 2;
 
-/// Time after which the first request after a back-off counts as accepted if the upstream has not refused it; several
-/// round trips.
+/// Time after which the first request after a back-off or a rejection counts as accepted if the upstream has not refused
+/// it; several round trips.
 pub(crate) const BACK_OFF_PROBE_TIME: Duration = Duration::from_millis(250);
 
 /// How long the notices of an upstream are kept after the latest one, if the upstream has left the registry or none of
--- a/crates/dragonflystep_dispatch/src/notices.rs
+++ b/crates/dragonflystep_dispatch/src/notices.rs
@@ -23,8 +23,8 @@
     pub upstream: UpstreamId,
     /// Content of the statement.
     pub kind: NoticeKind,
-    /// Time since the statement was made. For [`NoticeKind::RateUnlimited`] it is the time since the request was sent,
-    /// which is the earliest moment at which the answer can have been made.
+    /// Time since the statement was made. For [`NoticeKind::RateUnlimited`] and [`NoticeKind::RejectionsUnlimited`] it is
+    /// the time since the request was sent, which is the earliest moment at which the answer can have been made.
     pub age: Duration,
 }
 
@@ -38,6 +38,13 @@
     },
     /// The upstream no longer states a rate limit.
     RateUnlimited,
+    /// The upstream fails if it has to reject too many requests of all nodes together.
+    RejectionsLimited {
+        /// The largest number of requests per second that it may have to reject.
+        rejections_per_s: f64,
+    },
+    /// The upstream no longer states how many rejections it bears.
+    RejectionsUnlimited,
     /// The upstream is about to leave and takes no new requests. This is never revoked.
     Leaving,
     /// The upstream refused a request of a node and asks this node to send no requests for a while.
@@ -64,7 +71,8 @@
 #[derive(Debug)]
 struct KnownNotices {
     service: ServiceName,
-    rate: Option<StatedRate>,
+    rate: Option<StatedLimit>,
+    rejections: Option<StatedLimit>,
     leaving_at: Option<MonotonicTime>,
     warm_up: Option<StatedWarmUp>,
     back_offs: HashMap<NodeIncarnation, BackOffPeriod>,
@@ -92,13 +100,27 @@
     pub(crate) until: MonotonicTime,
 }
 
+/// A limit of requests or rejections that an upstream stated.
 #[derive(Debug)]
-struct StatedRate {
-    /// The limit; absent once the upstream no longer states one.
-    requests_per_s: Option<f64>,
+struct StatedLimit {
+    /// The limit, per second; absent once the upstream no longer states one.
+    per_s: Option<f64>,
     at: MonotonicTime,
 }
 
+impl StatedLimit {
+    /// Replaces `known` by a limit, or by the end of one, unless a later statement is known; returns whether the limit
+    /// changed.
+    fn update(known: &mut Option<Self>, at: MonotonicTime, per_s: Option<f64>) -> bool {
+        if known.as_ref().is_some_and(|known| at < known.at) {
+            return false;
+        }
+        let before = known.as_ref().and_then(|known| known.per_s);
+        *known = Some(Self { per_s, at });
+        before != per_s
+    }
+}
+
 impl UpstreamNotices {
     /// Applies a notice; returns whether this changed what applies. A rate statement older than the known one, and a
     /// back-off that ends before the known one, are ignored.
@@ -110,15 +132,20 @@
             .or_insert_with(|| KnownNotices {
                 service: notice.service.clone(),
                 rate: None,
+                rejections: None,
                 leaving_at: None,
                 warm_up: None,
                 back_offs: HashMap::new(),
             });
         match notice.kind {
             NoticeKind::RateLimited { requests_per_s } => {
-                known.apply_rate(at, Some(requests_per_s))
+                StatedLimit::update(&mut known.rate, at, Some(requests_per_s))
+            }
+            NoticeKind::RateUnlimited => StatedLimit::update(&mut known.rate, at, None),
+            NoticeKind::RejectionsLimited { rejections_per_s } => {
+                StatedLimit::update(&mut known.rejections, at, Some(rejections_per_s))
             }
-            NoticeKind::RateUnlimited => known.apply_rate(at, None),
+            NoticeKind::RejectionsUnlimited => StatedLimit::update(&mut known.rejections, at, None),
             NoticeKind::Leaving => {
                 let was_known = known.leaving_at.is_some();
                 known.leaving_at = known.leaving_at.max(Some(at));
@@ -136,6 +163,11 @@
         self.upstreams.get(upstream)?.rate_limit()
     }
 
+    /// Returns the number of rejections per second that an upstream bears, if it stated one.
+    pub(crate) fn rejection_limit(&self, upstream: &UpstreamId) -> Option<f64> {
+        self.upstreams.get(upstream)?.rejection_limit()
+    }
+
     /// Returns what an upstream last stated about its warm-up.
     pub(crate) fn warm_up(&self, upstream: &UpstreamId) -> Option<StatedWarmUp> {
         self.upstreams.get(upstream)?.warm_up
@@ -199,16 +231,6 @@
 }
 
 impl KnownNotices {
-    /// Applies a rate limit, or the end of one, unless a later statement is known; returns whether the limit changed.
-    fn apply_rate(&mut self, at: MonotonicTime, requests_per_s: Option<f64>) -> bool {
-        if self.rate.as_ref().is_some_and(|known| at < known.at) {
-            return false;
-        }
-        let before = self.rate_limit();
-        self.rate = Some(StatedRate { requests_per_s, at });
-        before != requests_per_s
-    }
-
     /// Applies a back-off, unless a known one ends later; drops those that are over. Returns whether it applies.
     fn apply_back_off(
         &mut self,
@@ -236,13 +258,18 @@
     }
 
     fn rate_limit(&self) -> Option<f64> {
-        self.rate.as_ref()?.requests_per_s
+        self.rate.as_ref()?.per_s
+    }
+
+    fn rejection_limit(&self) -> Option<f64> {
+        self.rejections.as_ref()?.per_s
     }
 
     /// Whether any of the notices still applies.
     fn is_in_effect(&self, now: MonotonicTime) -> bool {
         let mut back_offs = self.back_offs.values();
         self.rate_limit().is_some()
+            || self.rejection_limit().is_some()
             || self.leaving_at.is_some()
             || self.warm_up.is_some_and(|warm_up| warm_up.until > now)
             || back_offs.any(|back_off| back_off.until() > now)
@@ -252,7 +279,9 @@
         let rate_at = self.rate.as_ref().map(|rate| rate.at);
         let back_off_at = self.back_offs.values().map(|back_off| back_off.at).max();
         let warm_up_at = self.warm_up.map(|warm_up| warm_up.at);
+        let rejections_at = self.rejections.as_ref().map(|rejections| rejections.at);
         let latest = rate_at
+            .max(rejections_at)
             .max(self.leaving_at)
             .max(back_off_at)
             .max(warm_up_at);
@@ -268,12 +297,20 @@
         };
         let rate = self.rate.as_ref().map(|rate| {
             let kind = rate
-                .requests_per_s
+                .per_s
                 .map_or(NoticeKind::RateUnlimited, |requests_per_s| {
                     NoticeKind::RateLimited { requests_per_s }
                 });
             notice(kind, rate.at)
         });
+        let rejections = self.rejections.as_ref().map(|rejections| {
+            let kind = rejections
+                .per_s
+                .map_or(NoticeKind::RejectionsUnlimited, |rejections_per_s| {
+                    NoticeKind::RejectionsLimited { rejections_per_s }
+                });
+            notice(kind, rejections.at)
+        });
         let leaving = self.leaving_at.map(|at| notice(NoticeKind::Leaving, at));
         let back_offs = self
             .back_offs
@@ -288,7 +325,8 @@
             let left = warm_up.until.saturating_sub(warm_up.at);
             notice(NoticeKind::WarmingUp { left }, warm_up.at)
         });
-        let stated = rate.into_iter().chain(leaving).chain(warm_up);
+        let stated = rate.into_iter().chain(rejections);
+        let stated = stated.chain(leaving).chain(warm_up);
         stated.chain(back_offs).collect()
     }
 }
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -59,6 +59,9 @@
                 duration,
             });
         }
+        if report.outcome == RunOutcome::Cancelled {
+            upstream.record_cancelled(now, run.end_expected_at);
+        }
         if report.outcome == RunOutcome::Unreachable {
             self.assume_restarted(now, index);
         }
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -11,6 +11,7 @@
         notices::{StatedWarmUp, UpstreamNotices},
         pacer::RequestPacer,
         prefix_cache::PrefixCache,
+        rejection_guard::RejectionGuard,
         requested_back_off::RequestedBackOff,
         speed::Speed,
     },
@@ -97,6 +98,8 @@
     stated_cold: Option<StatedWarmUp>,
     /// Whether an operator evacuated its data centre, so that it gets no requests.
     pub(crate) is_evacuated: bool,
+    /// Keeps its rejections within what it stated to bear; absent if it stated nothing.
+    rejection_guard: Option<RejectionGuard>,
     /// The back-off that the upstream itself requested in its refusals.
     pub(crate) requested_back_off: RequestedBackOff,
 }
@@ -122,6 +125,7 @@
             assumed_cold: None,
             stated_cold: None,
             is_evacuated: false,
+            rejection_guard: None,
             requested_back_off: RequestedBackOff::default(),
         }
     }
@@ -140,9 +144,26 @@
             .set(notices.back_offs(&self.entry.id));
         self.stated_limit_per_s = notices.rate_limit(&self.entry.id);
         self.stated_cold = notices.warm_up(&self.entry.id);
+        self.set_rejection_limit(notices.rejection_limit(&self.entry.id), share);
         self.update_pacer(now, share);
     }
 
+    /// Changes the number of rejections per second that the upstream bears; this owner may use `share` of it.
+    fn set_rejection_limit(&mut self, limit_per_s: Option<f64>, share: f64) {
+        match (&mut self.rejection_guard, limit_per_s) {
+            (guard, None) => *guard = None,
+            (Some(guard), Some(limit)) => guard.set_limit(limit),
+            (guard, Some(limit)) => *guard = Some(RejectionGuard::new(limit, share)),
+        }
+    }
+
+    /// Records that a run was cancelled, on which the upstream may go on working until `end_expected_at`.
+    pub(crate) fn record_cancelled(&mut self, now: MonotonicTime, end_expected_at: MonotonicTime) {
+        if let Some(guard) = &mut self.rejection_guard {
+            guard.record_cancelled(now, end_expected_at);
+        }
+    }
+
     /// Changes the rate at which the upstream gets requests while it is cold; `None` if its service has no warm-up.
     pub(crate) fn set_cold_limit(
         &mut self,
@@ -195,11 +216,14 @@
         self.entry.phase == UpstreamPhase::Ready && !self.is_evacuated
     }
 
-    /// Changes the share of the upstream's rate limit that this owner may use.
+    /// Changes the share of the upstream's own limits that this owner may use.
     pub(crate) fn set_rate_share(&mut self, now: MonotonicTime, share: f64) {
         if let Some(pacer) = &mut self.pacer {
             pacer.set_share(now, share);
         }
+        if let Some(guard) = &mut self.rejection_guard {
+            guard.set_share(share);
+        }
     }
 
     /// Returns the requests per second that this owner may send, if the upstream stated a rate limit.
@@ -213,12 +237,15 @@
         pacer.is_none_or(|pacer| pacer.has_permit(now))
     }
 
-    /// Records that a request is sent, for the rate limit and the requested back-off.
+    /// Records that a request is sent, for the upstream's own limits and the requested back-off.
     pub(crate) fn record_sent(&mut self, now: MonotonicTime) {
         self.requested_back_off.record_sent(now);
         if let Some(pacer) = &mut self.pacer {
             pacer.take(now);
         }
+        if let Some(guard) = &mut self.rejection_guard {
+            guard.record_sent(now);
+        }
     }
 
     /// Returns the number of runs of length `run_ms` that are active at once when the upstream gets all that its slots
@@ -261,6 +288,11 @@
         {
             return false;
         }
+        let guard = self.rejection_guard.as_ref();
+        if guard.is_some_and(|guard| !guard.admits_request(now)) {
+            return false;
+        }
+        let lingering = guard.map_or(0, |guard| guard.lingering_runs(now));
         // After a back-off, one request at a time shows whether the upstream has recovered.
         let is_probing = self.failures_in_row >= FAILURES_BEFORE_BACK_OFF;
         let slots = if is_probing { 1 } else { self.slots() };
@@ -269,7 +301,7 @@
         } else {
             0
         };
-        self.runs.len() as u32 + foreign < slots
+        self.runs.len() as u32 + foreign + lingering < slots
     }
 
     /// Records the reported load. Requests only wait at the upstream if someone other than this owner places some
@@ -286,7 +318,9 @@
     /// Whether the upstream could run a request although it is backed off for failed answers, or because it refused
     /// another node.
     pub(crate) fn has_fallback_slot(&self, now: MonotonicTime) -> bool {
-        if !self.is_open() || !self.has_permit(now) {
+        let guard = self.rejection_guard.as_ref();
+        let may_be_rejected = guard.is_none_or(|guard| guard.admits_request(now));
+        if !self.is_open() || !self.has_permit(now) || !may_be_rejected {
             return false;
         }
         let is_probe = self.requested_back_off.may_be_probed_early(now) && self.runs.is_empty();
@@ -329,6 +363,9 @@
                 return Some(MAX_BACK_OFF);
             }
             RunOutcome::Rejected => {
+                if let Some(guard) = &mut self.rejection_guard {
+                    guard.record_rejection(now);
+                }
                 self.back_off_until = self.back_off_until.max(now + REJECTION_BACK_OFF);
                 return None;
             }
--- /dev/null
+++ b/crates/dragonflystep_dispatch/tests/rejection_limits.rs
@@ -0,0 +1,230 @@
+//! Guards against an upstream that fails because it has to reject more requests in a second than it stated to bear.
+//!
+//! The upstreams of the model run a fixed number of requests, queue none and count what they reject. An owner can be
+//! wrong about their free slots because others use them too, because an upstream goes on working on a request whose
+//! caller left, or because another owner grants slots as well.
+
+mod support;
+
+use {
+    dragonflystep_dispatch::{
+        ActiveRun, Dispatcher, Effect, Event, NoticeKind, RunId, RunOutcome, SlotDecision,
+        UpstreamNotice,
+    },
+    std::{collections::VecDeque, time::Duration},
+    support::{
+        Random, SERVICE, dispatcher, plain_request,
+        slot_requests::{START, run_ended},
+    },
+};
+
+const UPSTREAMS: usize = 3;
+const SLOTS: u32 = 4;
+
+/// Length of the window in which an upstream counts its rejections.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Time between a decision and the arrival at the upstream, and between an end there and its report.
+const TRANSIT: Duration = Duration::from_millis(3);
+
+const RUN_TIME: Duration = Duration::from_millis(300);
+
+/// Duration of a replay.
+const LOAD_TIME: Duration = Duration::from_secs(12);
+
+/// What deceives the owners about free slots.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Deception {
+    /// Others occupy all slots of the first upstream, for 2 s of every 4 s.
+    OtherCallers,
+    /// Callers leave after a third of their run, and the upstreams go on working.
+    CallersLeave,
+    /// A new owner grants slots for half of the requests, and the one before does not know yet that it was replaced.
+    TwoOwners,
+}
+
+/// Something that happens at an upstream or is reported to an owner.
+enum Step {
+    Arrival { upstream: usize },
+    End { upstream: usize },
+    Report { outcome: RunOutcome },
+}
+
+struct Replay {
+    owners: Vec<Dispatcher>,
+    deception: Deception,
+    /// Steps to come, with their times, owner and run.
+    steps: Vec<(Duration, usize, RunId, Step)>,
+    occupied: [u32; UPSTREAMS],
+    rejected_at: [VecDeque<Duration>; UPSTREAMS],
+    max_rejections: usize,
+    completed: u32,
+}
+
+impl Replay {
+    fn run(deception: Deception, limit_per_s: Option<f64>, seed: u64) -> Self {
+        let owners = if deception == Deception::TwoOwners {
+            2
+        } else {
+            1
+        };
+        let mut replay = Self {
+            owners: (0..owners).map(|_| dispatcher(UPSTREAMS, SLOTS)).collect(),
+            deception,
+            steps: Vec::new(),
+            occupied: [0; UPSTREAMS],
+            rejected_at: Default::default(),
+            max_rejections: 0,
+            completed: 0,
+        };
+        for (owner, index) in (0..owners).flat_map(|owner| (0..UPSTREAMS).map(move |i| (owner, i)))
+        {
+            if let Some(rejections_per_s) = limit_per_s {
+                let notice = UpstreamNotice {
+                    service: SERVICE.into(),
+                    upstream: format!("engine-{index}").into(),
+                    kind: NoticeKind::RejectionsLimited { rejections_per_s },
+                    age: Duration::ZERO,
+                };
+                replay.reduce(START, owner, Event::NoticeReceived(notice));
+            }
+        }
+        let mut random = Random::new(seed);
+        let (mut now, mut run) = (START, 0);
+        while now < START + LOAD_TIME {
+            // A little more than what the upstreams can run.
+            now += Duration::from_secs_f64(random.gap_s(45.0));
+            replay.advance(now);
+            run += 1;
+            let owner = run as usize % owners;
+            replay.reduce(now, owner, Event::SlotRequested(plain_request(run, 1)));
+            for owner in 0..owners {
+                replay.reduce(now, owner, Event::Ticked);
+            }
+            if owners == 2 {
+                // The entry nodes report the runs of the owner before, by which the new one knows of it.
+                let active_run = ActiveRun {
+                    request: plain_request(0, 1),
+                    upstream: "engine-0".into(),
+                    running_for: Duration::ZERO,
+                };
+                replay.reduce(now, 1, Event::ActiveRunReported(active_run));
+                replay.reduce(now, 1, run_ended(0, RunOutcome::Withheld));
+            }
+        }
+        replay
+    }
+
+    fn reduce(&mut self, now: Duration, owner: usize, event: Event) {
+        for Effect { run, decision } in self.owners[owner].reduce(now, event) {
+            let SlotDecision::Granted(grant) = decision else {
+                continue;
+            };
+            let index = grant.upstream.rsplit('-').next().expect("a number");
+            let upstream = index.parse().expect("a number");
+            self.steps
+                .push((now + TRANSIT, owner, run, Step::Arrival { upstream }));
+        }
+    }
+
+    /// Carries out all steps up to `until`, in the order of their times.
+    fn advance(&mut self, until: Duration) {
+        loop {
+            let due = self.steps.iter().enumerate();
+            let due = due.filter(|(_, step)| step.0 <= until);
+            let Some(index) = due.min_by_key(|(_, step)| step.0).map(|(index, _)| index) else {
+                return;
+            };
+            let (at, owner, run, step) = self.steps.remove(index);
+            match step {
+                Step::Arrival { upstream } => self.arrive(at, owner, run, upstream),
+                Step::End { upstream } => self.occupied[upstream] -= 1,
+                Step::Report { outcome } => {
+                    self.completed += u32::from(outcome == RunOutcome::Completed);
+                    self.reduce(at, owner, run_ended(run, outcome));
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, at: Duration, owner: usize, run: RunId, upstream: usize) {
+        let others = self.deception == Deception::OtherCallers
+            && upstream == 0
+            && (at - START).as_secs() % 4 >= 2;
+        if others || self.occupied[upstream] == SLOTS {
+            self.reject(at, upstream);
+            let outcome = RunOutcome::Rejected;
+            self.steps
+                .push((at + TRANSIT, owner, run, Step::Report { outcome }));
+            return;
+        }
+        self.occupied[upstream] += 1;
+        self.steps
+            .push((at + RUN_TIME, owner, run, Step::End { upstream }));
+        let (ends_at, outcome) = if self.deception == Deception::CallersLeave {
+            (at + RUN_TIME / 3, RunOutcome::Cancelled)
+        } else {
+            (at + RUN_TIME, RunOutcome::Completed)
+        };
+        self.steps
+            .push((ends_at + TRANSIT, owner, run, Step::Report { outcome }));
+    }
+
+    fn reject(&mut self, at: Duration, upstream: usize) {
+        let rejected_at = &mut self.rejected_at[upstream];
+        rejected_at.push_back(at);
+        while rejected_at
+            .front()
+            .is_some_and(|first| at - *first >= WINDOW)
+        {
+            rejected_at.pop_front();
+        }
+        self.max_rejections = self.max_rejections.max(rejected_at.len());
+    }
+}
+
+fn check(deception: Deception) {
+    for seed in 0..40 {
+        for limit_per_s in [2.0, 4.0, 8.0] {
+            let unlimited = Replay::run(deception, None, seed);
+            assert!(
+                unlimited.max_rejections as f64 > limit_per_s,
+                "the load does not exceed the limit without it: seed {seed}, {}",
+                unlimited.max_rejections
+            );
+            let limited = Replay::run(deception, Some(limit_per_s), seed);
+            assert!(
+                limited.max_rejections as f64 <= limit_per_s,
+                "seed {seed}, limit {limit_per_s}: {} rejections in a second",
+                limited.max_rejections
+            );
+        }
+    }
+}
+
+#[test]
+fn an_upstream_that_others_occupy_rejects_no_more_than_it_bears() {
+    check(Deception::OtherCallers);
+}
+
+#[test]
+fn an_upstream_that_works_on_after_callers_left_rejects_no_more_than_it_bears() {
+    check(Deception::CallersLeave);
+}
+
+#[test]
+fn an_upstream_of_two_owners_rejects_no_more_than_it_bears() {
+    check(Deception::TwoOwners);
+}
+
+#[test]
+fn an_upstream_serves_as_before_while_it_rejects_nothing() {
+    let served = |limit| {
+        let mut completed = 0;
+        for seed in 0..10 {
+            completed += Replay::run(Deception::OtherCallers, limit, seed).completed;
+        }
+        f64::from(completed)
+    };
+    assert!(served(Some(2.0)) >= 0.9 * served(None));
+}
--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -73,6 +73,8 @@
     pub load: Option<(u32, u32)>,
     /// Rate limit of the upstream, in requests per second from all nodes together.
     pub rate_limit_per_s: Stated<f64>,
+    /// Requests of all nodes together that the upstream may have to reject in a second before it fails.
+    pub rejection_limit_per_s: Stated<f64>,
     /// Whether the upstream is about to leave the service.
     pub is_leaving: Stated<bool>,
     /// How long this node is to back off from the upstream, which refused the request.
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -134,6 +134,12 @@
         self.dispatcher.borrow().rate_limit(upstream)
     }
 
+    /// The rejections per second, of requests of all nodes together, that an upstream stated to bear; none without a
+    /// limit.
+    pub(crate) fn rejection_limit(&self, upstream: &UpstreamId) -> Option<f64> {
+        self.dispatcher.borrow().rejection_limit(upstream)
+    }
+
     /// Whether an upstream has announced that it is leaving.
     pub(crate) fn is_leaving(&self, upstream: &UpstreamId) -> bool {
         self.dispatcher.borrow().is_leaving(upstream)
--- a/crates/dragonflystep_edge/src/upstream_notices.rs
+++ b/crates/dragonflystep_edge/src/upstream_notices.rs
@@ -1,4 +1,4 @@
-//! Reads the notices in the heads of upstreams' answers (rate limit, leaving, back-off) and passes them to the
+//! Reads the notices in the heads of upstreams' answers (rate limit, rejection limit, leaving, back-off, warm-up) and passes them to the
 //! dispatcher and to other nodes.
 //!
 //! Each node keeps both the notices that it read and those that other nodes sent, since any node may become the
@@ -50,6 +50,7 @@
     fn read_notices(&self, answer: &ObservedAnswer<'_>) -> impl Iterator<Item = UpstreamNotice> {
         let statements = [
             self.read_rate_limit(answer),
+            self.read_rejection_limit(answer),
             self.read_leaving(answer),
             self.read_back_off(answer),
             self.read_warm_up(answer),
@@ -78,13 +79,28 @@
             }
             Stated::Absent => {
                 self.owner.rate_limit(answer.upstream)?;
-                // An answer that is not successful or not signed may lack a rate limit that the upstream otherwise
-                // states.
-                if !answer.facts.is_success || !answer.facts.is_signed {
-                    return None;
-                }
-                // The upstream may have made the answer at any moment since the request was sent.
-                Some((NoticeKind::RateUnlimited, answer.sent_ago))
+                ends_limits(answer.facts).then_some((NoticeKind::RateUnlimited, answer.sent_ago))
+            }
+        }
+    }
+
+    fn read_rejection_limit(&self, answer: &ObservedAnswer<'_>) -> Option<(NoticeKind, Duration)> {
+        match &answer.facts.rejection_limit_per_s {
+            Stated::Value(rejections_per_s) => {
+                self.metrics
+                    .count("upstream_notices_total", "rejection_limit");
+                let rejections_per_s = *rejections_per_s;
+                let kind = NoticeKind::RejectionsLimited { rejections_per_s };
+                Some((kind, Duration::ZERO))
+            }
+            Stated::Unreadable(text) => {
+                self.note_unreadable(answer, "rejection limit", text);
+                None
+            }
+            Stated::Absent => {
+                self.owner.rejection_limit(answer.upstream)?;
+                let kind = NoticeKind::RejectionsUnlimited;
+                ends_limits(answer.facts).then_some((kind, answer.sent_ago))
             }
         }
     }
@@ -156,6 +172,7 @@
     fn apply_notice(&self, notice: &UpstreamNotice, source: &str, request_id: &str) {
         let upstream = &notice.upstream;
         let limit_before = self.owner.rate_limit(upstream);
+        let rejection_limit_before = self.owner.rejection_limit(upstream);
         let was_leaving = self.owner.is_leaving(upstream);
         let was_cold = self.owner.is_stated_cold(upstream);
         self.owner.apply(Event::NoticeReceived(notice.clone()));
@@ -171,6 +188,15 @@
         if !was_cold && self.owner.is_stated_cold(upstream) {
             log::info!(request = request_id, upstream:%, source; "upstream is cold");
         }
+        match self.owner.rejection_limit(upstream) {
+            limit if limit == rejection_limit_before => {}
+            Some(rejections_per_s) => {
+                log::info!(request = request_id, upstream:%, rejections_per_s, source; "upstream limits its rejections");
+            }
+            None => {
+                log::info!(request = request_id, upstream:%, source; "upstream no longer limits its rejections");
+            }
+        }
         match self.owner.rate_limit(upstream) {
             limit if limit == limit_before => {}
             Some(requests_per_s) => {
@@ -182,3 +208,11 @@
         }
     }
 }
+
+/// Whether an answer that states no limit shows that the upstream has none, with the time since its request was sent as
+/// the age of that statement: the upstream may have made the answer at any moment since.
+///
+/// An answer that is not successful or not signed may lack a limit that the upstream otherwise states.
+fn ends_limits(facts: &AnswerFacts) -> bool {
+    facts.is_success && facts.is_signed
+}
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -71,6 +71,9 @@
     resting :group { node @6 :UInt32; lastsUs @7 :UInt64; }
     # It is cold for this long from then on; 0 if it is warm.
     coldForUs @8 :UInt64;
+    # It fails if it has to reject more requests than this in a second, of all nodes together.
+    rejectionsPerS @9 :Float64;
+    rejectionsUnlimited @10 :Void;
   }
 }
 
--- a/crates/dragonflystep_peer/src/notice_codec.rs
+++ b/crates/dragonflystep_peer/src/notice_codec.rs
@@ -24,6 +24,10 @@
         match notice.kind {
             NoticeKind::RateLimited { requests_per_s } => entry.set_requests_per_s(requests_per_s),
             NoticeKind::RateUnlimited => entry.set_rate_unlimited(()),
+            NoticeKind::RejectionsLimited { rejections_per_s } => {
+                entry.set_rejections_per_s(rejections_per_s);
+            }
+            NoticeKind::RejectionsUnlimited => entry.set_rejections_unlimited(()),
             NoticeKind::Leaving => entry.set_leaving(()),
             NoticeKind::BackOff { node, duration } => {
                 let mut back_off = entry.init_resting();
@@ -35,8 +39,7 @@
     }
 }
 
-/// Decodes notices; skips those whose kind this version does not know, and rate limits that are negative or not
-/// finite.
+/// Decodes notices; skips those whose kind this version does not know, and limits that are negative or not finite.
 pub(crate) fn decode_notices(
     input: struct_list::Reader<'_, upstream_notice::Owned>,
 ) -> Result<Vec<UpstreamNotice>, PeerError> {
@@ -44,7 +47,7 @@
     for message in input {
         let Some(kind) = decode_kind(message) else {
             log::debug!(
-                "skipped a notice from another node: its kind is unknown or its rate is invalid"
+                "skipped a notice from another node: its kind is unknown or its limit is invalid"
             );
             continue;
         };
@@ -61,10 +64,13 @@
 fn decode_kind(message: upstream_notice::Reader<'_>) -> Option<NoticeKind> {
     match message.which().ok()? {
         Which::RequestsPerS(requests_per_s) => {
-            let is_rate = requests_per_s.is_finite() && requests_per_s >= 0.0;
-            is_rate.then_some(NoticeKind::RateLimited { requests_per_s })
+            is_limit(requests_per_s).then_some(NoticeKind::RateLimited { requests_per_s })
         }
         Which::RateUnlimited(()) => Some(NoticeKind::RateUnlimited),
+        Which::RejectionsPerS(rejections_per_s) => {
+            is_limit(rejections_per_s).then_some(NoticeKind::RejectionsLimited { rejections_per_s })
+        }
+        Which::RejectionsUnlimited(()) => Some(NoticeKind::RejectionsUnlimited),
         Which::Leaving(()) => Some(NoticeKind::Leaving),
         Which::Resting(back_off) => Some(NoticeKind::BackOff {
             node: back_off.get_node(),
@@ -75,3 +81,7 @@
         }),
     }
 }
+
+fn is_limit(per_s: f64) -> bool {
+    per_s.is_finite() && per_s >= 0.0
+}
