--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -60,7 +60,7 @@
 impl PeerLink {
     /// Creates a link over TCP to the node at `address`, as IP:PORT, without opening a connection.
     pub fn new(address: String) -> Self {
-        Self::with_network(Rc::new(TcpNetwork), address)
+        Self::with_network(Rc::new(TcpNetwork::default()), address)
     }
 
     /// Creates a link over `network` to the node at `address`, as IP:PORT, without opening a connection.
--- a/crates/dragonflystep_peer/src/network.rs
+++ b/crates/dragonflystep_peer/src/network.rs
@@ -3,10 +3,16 @@
 
 use {
     crate::{KeepaliveLimits, configure_stream},
-    std::{future::Future, io, net::SocketAddr, pin::Pin, time::Duration},
+    std::{
+        future::Future,
+        io,
+        net::{IpAddr, SocketAddr},
+        pin::Pin,
+        time::Duration,
+    },
     tokio::{
         io::{AsyncRead, AsyncWrite},
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpSocket, TcpStream},
         time::timeout,
     },
 };
@@ -44,12 +50,32 @@
 
 /// TCP with keepalive probes, which close a connection whose peer no longer responds.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct TcpNetwork;
+pub struct TcpNetwork {
+    /// Address from which connections are opened; `None` lets the operating system choose it.
+    pub source_ip: Option<IpAddr>,
+}
+
+impl TcpNetwork {
+    async fn open(self, address: &str) -> io::Result<TcpStream> {
+        let Some(source_ip) = self.source_ip else {
+            return TcpStream::connect(address).await;
+        };
+        let address: SocketAddr = address
+            .parse()
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))?;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(source_ip, 0))?;
+        socket.connect(address).await
+    }
+}
 
 impl Network for TcpNetwork {
     fn connect<'a>(&'a self, address: &'a str) -> StreamFuture<'a> {
         Box::pin(async move {
-            let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            let stream = timeout(CONNECT_TIMEOUT, self.open(address))
                 .await
                 .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
             configured(stream)
--- a/crates/dragonflystep_peer/src/sockets.rs
+++ b/crates/dragonflystep_peer/src/sockets.rs
@@ -2,6 +2,10 @@
 //!
 //! A peer that lost power or is behind a network partition sends nothing, not even a reset, and a network device
 //! may drop the state of a connection while new connections still work. Neither is noticed without probes.
+//!
+//! On Linux, the time for which sent data may stay unacknowledged (`TCP_USER_TIMEOUT`) also decides when keepalive probes
+//! give up, whatever their number: at the first probe that is due after that time. So both limits are set together, and a
+//! library that sets only one of them gets the default of the other.
 
 use {
     socket2::{SockRef, TcpKeepalive},
@@ -21,8 +25,8 @@
 }
 
 impl Default for KeepaliveLimits {
-    /// The shortest probe interval that the operating system offers: a connection that receives nothing is closed after
-    /// three seconds.
+    /// The shortest probe interval that the operating system offers. A connection that receives nothing is closed after
+    /// three seconds by either limit, and one whose peer is silent for two seconds is kept.
     fn default() -> Self {
         Self {
             probe_interval: Duration::from_secs(1),
--- a/crates/dragonflystep_peer/tests/tunnel.rs
+++ b/crates/dragonflystep_peer/tests/tunnel.rs
@@ -74,7 +74,7 @@
                 tunnel.refuse(refusal).await.expect("the opener reads it");
                 return;
             }
-            let upstream = TcpNetwork.connect(&target.upstream).await;
+            let upstream = TcpNetwork::default().connect(&target.upstream).await;
             // A tunnel that breaks is what some of the tests are about.
             let _ = tunnel
                 .forward(upstream.expect("the upstream listens"), |_| {})
@@ -126,7 +126,14 @@
 async fn exchange(behaviour: Upstream, kill: bool) -> (Vec<u8>, io::Result<usize>) {
     let upstream = start_upstream(behaviour).await.to_string();
     let (forwarder, task) = start_forwarder(None).await;
-    let tunnel = open_tunnel(&TcpNetwork, &forwarder, "opener", &upstream, LIMIT).await;
+    let tunnel = open_tunnel(
+        &TcpNetwork::default(),
+        &forwarder,
+        "opener",
+        &upstream,
+        LIMIT,
+    )
+    .await;
     let mut tunnel = tunnel.expect("a tunnel");
     tunnel
         .write_all(b"hello")
@@ -185,7 +192,14 @@
             TunnelRefusal::UnknownUpstream,
         ] {
             let (forwarder, _task) = start_forwarder(Some(refusal)).await;
-            let tunnel = open_tunnel(&TcpNetwork, &forwarder, "opener", "10.0.0.1:1", LIMIT).await;
+            let tunnel = open_tunnel(
+                &TcpNetwork::default(),
+                &forwarder,
+                "opener",
+                "10.0.0.1:1",
+                LIMIT,
+            )
+            .await;
             let error = tunnel.err().expect("a refusal");
             assert!(
                 matches!(error, TunnelError::Refused(received) if received == refusal),
