--- a/crates/dragonflystep_edge/src/settings.rs
+++ b/crates/dragonflystep_edge/src/settings.rs
@@ -3,7 +3,11 @@
 use {
     dragonflystep_dispatch::{DataCentreName, NodeName, RegionName, SharedLimits},
     serde::Deserialize,
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
 };
 
 /// Everything that a node is configured with.
@@ -25,6 +29,9 @@
     pub peers: SocketAddr,
     /// Address at which other nodes are to connect; differs from `peers` if there is a relay in between.
     pub peers_advertised: SocketAddr,
+    /// Address from which the node opens connections to other nodes and upstreams; `None` lets the operating system
+    /// choose it.
+    pub outgoing_ip: Option<IpAddr>,
     /// Listening address of the metrics page; `None` to serve no metrics.
     pub metrics: Option<SocketAddr>,
     /// CPU share as a fraction of a core. A node with a larger share ranks higher as an owner.
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -6,7 +6,11 @@
         DataCentreName, NodeName, QuotaRules, RegionName, RolloutRules, SharedLimits, WarmUpRules,
     },
     serde::Deserialize,
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::BTreeMap,
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
 };
 
 /// How long callers keep a list of addresses, if the operator's limit permits it. It is short because the listed
@@ -81,6 +85,8 @@
     /// Address at which other nodes reach this one, if it is not `peers`, as with a relay between them.
     peers_advertised: Option<SocketAddr>,
     metrics: Option<SocketAddr>,
+    /// Address from which connections to other nodes and upstreams are opened.
+    outgoing_ip: Option<IpAddr>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -167,6 +173,7 @@
         readiness: file.listen.readiness,
         directory: file.listen.directory,
         peers: file.listen.peers,
+        outgoing_ip: file.listen.outgoing_ip,
         peers_advertised: file.listen.peers_advertised.unwrap_or(file.listen.peers),
         metrics: file.listen.metrics,
         cpu_share: file.cpu_share,
