--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -21,20 +21,27 @@
 }
 
 /// Log messages about notices that upstreams gave about themselves, each with the topic of the notice.
-const NOTICES: [(&str, &str); 4] = [
+const NOTICES: [(&str, &str); 6] = [
     ("upstream limits its rate", "rate"),
     ("upstream no longer limits its rate", "rate"),
+    ("upstream limits its rejections", "rejections"),
+    ("upstream no longer limits its rejections", "rejections"),
     ("upstream leaves", "leaving"),
     ("upstream wants rest", "rest"),
 ];
 
-/// Log messages that record a change of what a node knows about the system.
-const STATE_MESSAGES: [&str; 5] = [
-    "catalogue in force",
-    "registry in force",
-    "majority changed",
-    "the store does not answer",
-    "node does not answer",
+/// Log messages that record a change of what a node knows about the system, each with its topic.
+const STATE_MESSAGES: [(&str, &str); 7] = [
+    ("catalogue in force", "catalogue"),
+    ("registry in force", "registry"),
+    ("majority changed", "majority"),
+    ("the store does not answer", "store"),
+    ("node does not answer", "nodes"),
+    (
+        "this node reaches no upstream directly; it connects to them through other nodes",
+        "upstreams",
+    ),
+    ("this node reaches upstreams directly again", "upstreams"),
 ];
 
 impl ExplainCommand {
@@ -69,14 +76,15 @@
     line["time_ms"].as_u64().unwrap_or(0)
 }
 
-/// Returns the subject of a log line that records a state change: the topic and the upstream of a notice, or the
-/// message alone. A later line of the same node and subject replaces the earlier one.
+/// Returns the subject of a log line that records a state change: its topic, and the upstream if it is a notice. A later line of the same node and subject replaces the earlier one.
 fn state_subject(line: &Value) -> Option<(&str, &str)> {
     let message = line["message"].as_str()?;
     if let Some((_, topic)) = NOTICES.iter().find(|(notice, _)| *notice == message) {
         return Some((topic, line["upstream"].as_str()?));
     }
-    STATE_MESSAGES.contains(&message).then_some((message, ""))
+    let mut states = STATE_MESSAGES.iter();
+    let (_, topic) = states.find(|(state, _)| *state == message)?;
+    Some((topic, ""))
 }
 
 /// Returns the lines of the request, preceded by state changes logged before the first of these lines: the latest one
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -73,3 +73,27 @@
     assert!(lines[0].contains("u2"), "{stdout}");
     assert!(lines[1].contains("no longer"), "{stdout}");
 }
+
+#[test]
+fn the_last_known_reach_of_upstreams_comes_before_the_lines_of_a_request() {
+    let cut_off = concat!(
+        r#"{"time_ms":1,"node":"a","message":"this node reaches no upstream directly; it connects to them through other nodes"}"#,
+        "\n",
+        r#"{"time_ms":2,"node":"a","message":"upstream limits its rejections","upstream":"u1","rejections_per_s":3}"#,
+        "\n",
+        r#"{"time_ms":3,"node":"a","message":"upstream was reached through another node","request":"r1","forwarder":"b"}"#,
+        "\n",
+        r#"{"time_ms":4,"node":"a","message":"this node reaches upstreams directly again","cut_off_for_ms":3}"#,
+        "\n",
+        r#"{"time_ms":5,"node":"a","message":"request ended","request":"r2","status":200}"#,
+        "\n",
+    );
+    let (_, first) = explain("r1", &[("a.log", cut_off)]);
+    let lines: Vec<&str> = first.lines().collect();
+    assert_eq!(lines.len(), 3, "{first}");
+    assert!(lines[0].contains("reaches no upstream"));
+    assert!(lines[1].contains("limits its rejections"));
+    let (_, second) = explain("r2", &[("a.log", cut_off)]);
+    assert!(!second.contains("reaches no upstream"), "{second}");
+    assert!(second.contains("directly again"), "{second}");
+}
