--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -221,8 +221,8 @@
 
 /// Tunnels per second that a node opens because direct connections fail or take long, and how many of them at once. A
 /// node that is cut off from all upstreams needs two before it counts as cut off, after which tunnels are not limited.
-pub(crate) const SECOND_OPINIONS_PER_S: f64 = 4.0;
-pub(crate) const SECOND_OPINION_BURST: f64 = 6.0;
+pub(crate) const FALLBACK_TUNNELS_PER_S: f64 = 4.0;
+pub(crate) const FALLBACK_TUNNEL_BURST: f64 = 6.0;
 
 /// Number of upstreams that a node can't connect to, although others do, from which it counts as cut off from all.
 pub(crate) const BLOCKED_PATHS_WHEN_CUT_OFF: usize = 2;
--- a/crates/dragonflystep_edge/src/upstream_dialer.rs
+++ b/crates/dragonflystep_edge/src/upstream_dialer.rs
@@ -11,7 +11,12 @@
     },
     dragonflystep_dispatch::{DataCentreName, NodeName},
     dragonflystep_peer::{NetworkStream, TunnelError, TunnelRefusal, open_tunnel},
-    std::{future::Future, io, pin::Pin, rc::Rc},
+    std::{
+        future::Future,
+        io,
+        pin::{Pin, pin},
+        rc::Rc,
+    },
     tokio::{task::spawn_local, time::timeout},
 };
 
@@ -58,7 +63,9 @@
                 spawn_local(probe(node.clone(), address.to_owned()));
             }
             let tunnel = open_any_tunnel(node, address, allowed).await;
-            tunnel.map_err(|verdict| node.judge(address, verdict, io::ErrorKind::TimedOut.into()))
+            tunnel.map_err(|verdict| {
+                node.classify_failure(address, verdict, io::ErrorKind::TimedOut.into())
+            })
         }
     };
     let kind = match &result {
@@ -86,15 +93,18 @@
         return Ok(node.direct_connection(address, stream));
     }
     let now = node.owner.now();
-    let may_open_tunnel = node.upstream_paths.borrow_mut().take_second_opinion(now);
+    let may_open_tunnel = node.upstream_paths.borrow_mut().take_fallback_permit(now);
     match (early_result, may_open_tunnel) {
         (Err(_), true) => race_with_tunnel(node, address, allowed, direct).await,
         (Err(_), false) => match direct.await {
             Ok(stream) => Ok(node.direct_connection(address, stream)),
-            Err(error) => Err(node.judge(address, None, error)),
+            Err(error) => Err(node.classify_failure(address, None, error)),
         },
-        (Ok(Err(error)), true) => dial_after_failure(node, address, allowed, error).await,
-        (Ok(Err(error)), false) => Err(node.judge(address, None, error)),
+        (Ok(Err(error)), true) => {
+            let tunnel = open_any_tunnel(node, address, allowed).await;
+            node.use_tunnel_after_failure(address, tunnel, error)
+        }
+        (Ok(Err(error)), false) => Err(node.classify_failure(address, None, error)),
         (Ok(Ok(stream)), _) => Ok(node.direct_connection(address, stream)),
     }
 }
@@ -109,13 +119,14 @@
     allowed: Option<&[DataCentreName]>,
     mut direct: DirectAttempt,
 ) -> Result<Dialed, DialError> {
+    let mut tunnel = pin!(open_any_tunnel(node, address, allowed));
     let verdict = tokio::select! {
         biased;
         result = &mut direct => match result {
             Ok(stream) => return Ok(node.direct_connection(address, stream)),
-            Err(error) => return dial_after_failure(node, address, allowed, error).await,
+            Err(error) => return node.use_tunnel_after_failure(address, tunnel.await, error),
         },
-        tunnel = open_any_tunnel(node, address, allowed) => match tunnel {
+        opened = &mut tunnel => match opened {
             Ok(dialed) => {
                 // Whether the direct attempt fails or is only slow shows later.
                 let (node, address) = (node.clone(), address.to_owned());
@@ -127,23 +138,7 @@
     };
     match direct.await {
         Ok(stream) => Ok(node.direct_connection(address, stream)),
-        Err(error) => Err(node.judge(address, verdict, error)),
-    }
-}
-
-/// Opens a tunnel after a direct connection failed with `error`.
-async fn dial_after_failure(
-    node: &Rc<Node>,
-    address: &str,
-    allowed: Option<&[DataCentreName]>,
-    error: io::Error,
-) -> Result<Dialed, DialError> {
-    match open_any_tunnel(node, address, allowed).await {
-        Ok(dialed) => {
-            node.record_blocked(address);
-            Ok(dialed)
-        }
-        Err(verdict) => Err(node.judge(address, verdict, error)),
+        Err(error) => Err(node.classify_failure(address, verdict, error)),
     }
 }
 
@@ -278,8 +273,29 @@
         }
     }
 
+    /// Uses the tunnel, if there is one, after a direct attempt failed with `error`.
+    fn use_tunnel_after_failure(
+        &self,
+        address: &str,
+        tunnel: Result<Dialed, Option<TunnelRefusal>>,
+        error: io::Error,
+    ) -> Result<Dialed, DialError> {
+        match tunnel {
+            Ok(dialed) => {
+                self.record_blocked(address);
+                Ok(dialed)
+            }
+            Err(verdict) => Err(self.classify_failure(address, verdict, error)),
+        }
+    }
+
     /// Decides what a failed connection means: `verdict` is what a forwarder says, `error` what the direct attempt does.
-    fn judge(&self, address: &str, verdict: Option<TunnelRefusal>, error: io::Error) -> DialError {
+    fn classify_failure(
+        &self,
+        address: &str,
+        verdict: Option<TunnelRefusal>,
+        error: io::Error,
+    ) -> DialError {
         let paths = self.upstream_paths.borrow();
         let is_confirmed = verdict == Some(TunnelRefusal::Unreachable)
             || paths.reaches_others(self.owner.now(), address);
--- a/crates/dragonflystep_edge/src/upstream_paths.rs
+++ b/crates/dragonflystep_edge/src/upstream_paths.rs
@@ -8,8 +8,8 @@
 
 use {
     crate::limits::{
-        BLOCKED_PATHS_WHEN_CUT_OFF, DIRECT_PROBE_INTERVAL, FORWARDER_AVOIDANCE, PATH_PROOF_TIME,
-        SECOND_OPINION_BURST, SECOND_OPINIONS_PER_S, UPSTREAM_SILENCE,
+        BLOCKED_PATHS_WHEN_CUT_OFF, DIRECT_PROBE_INTERVAL, FALLBACK_TUNNEL_BURST,
+        FALLBACK_TUNNELS_PER_S, FORWARDER_AVOIDANCE, PATH_PROOF_TIME, UPSTREAM_SILENCE,
     },
     dragonflystep_dispatch::{MonotonicTime, NodeName, UpstreamId},
     std::{
@@ -44,7 +44,7 @@
     cut_off_since: Option<MonotonicTime>,
     /// When a direct connection is tried next while the node is cut off, and when silent upstreams are probed next.
     next_probe_at: MonotonicTime,
-    second_opinions: SecondOpinions,
+    fallback_limiter: FallbackLimiter,
     /// Nodes that recently could not open a tunnel, with the time from which they are tried again.
     avoided_forwarders: HashMap<NodeName, MonotonicTime>,
 }
@@ -59,26 +59,26 @@
 /// Token bucket of the tunnels that may be opened because a direct connection fails or takes long. While many upstreams
 /// stop, or this node is busy, they would otherwise double the connections to upstreams.
 #[derive(Debug)]
-struct SecondOpinions {
+struct FallbackLimiter {
     tokens: f64,
     refilled_at: MonotonicTime,
 }
 
-impl Default for SecondOpinions {
+impl Default for FallbackLimiter {
     fn default() -> Self {
         Self {
-            tokens: SECOND_OPINION_BURST,
+            tokens: FALLBACK_TUNNEL_BURST,
             refilled_at: Duration::ZERO,
         }
     }
 }
 
-impl SecondOpinions {
+impl FallbackLimiter {
     fn take(&mut self, now: MonotonicTime) -> bool {
         let elapsed_s = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
-        let refilled = self.tokens + elapsed_s * SECOND_OPINIONS_PER_S;
-        self.tokens = refilled.min(SECOND_OPINION_BURST);
+        let refilled = self.tokens + elapsed_s * FALLBACK_TUNNELS_PER_S;
+        self.tokens = refilled.min(FALLBACK_TUNNEL_BURST);
         let is_available = self.tokens >= 1.0;
         if is_available {
             self.tokens -= 1.0;
@@ -176,8 +176,8 @@
     }
 
     /// Whether a tunnel may be opened because a direct connection fails or takes long.
-    pub(crate) fn take_second_opinion(&mut self, now: MonotonicTime) -> bool {
-        self.second_opinions.take(now)
+    pub(crate) fn take_fallback_permit(&mut self, now: MonotonicTime) -> bool {
+        self.fallback_limiter.take(now)
     }
 
     /// Chooses the upstreams to be probed, if nothing was heard from any upstream for [`UPSTREAM_SILENCE`] although
