--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -1,6 +1,7 @@
 //! The state of a node, which its tasks share, and the operations that apply new documents to it.
 
 mod digest;
+mod gauges;
 mod liveness;
 mod run;
 
@@ -22,7 +23,6 @@
         settings::{MemberRecord, NodeSettings},
         stop::StopSignal,
         upstream_connections::UpstreamConnections,
-        upstream_dialer::Forwarder,
         upstream_health::UpstreamHealth,
         upstream_paths::UpstreamPaths,
         versioned_list::Changes,
@@ -89,7 +89,7 @@
     /// Grace period of a stop. A reload of the settings may change this value and the next one.
     pub(crate) stop_grace: Cell<Duration>,
     pub(crate) address_lifetime: Cell<Duration>,
-    random: RefCell<SmallRng>,
+    pub(crate) random: RefCell<SmallRng>,
     incarnation: u64,
     runs_started: Cell<u32>,
     /// When another node last answered a gossip exchange.
@@ -360,84 +360,9 @@
         self.ranked(OWNERS_KEY, limit)
     }
 
-    /// Returns up to `limit` nodes through which upstreams may be reached, those of this data centre and others in turn.
-    /// They are in one of the data centres `allowed`, if there are any.
-    pub(crate) fn forwarders(
-        &self,
-        limit: usize,
-        allowed: Option<&[DataCentreName]>,
-    ) -> Vec<Forwarder> {
-        let now = self.owner.now();
-        let paths = self.upstream_paths.borrow();
-        let is_candidate = |record: &MemberRecord| {
-            !paths.is_avoided(now, &record.node)
-                && allowed.is_none_or(|allowed| allowed.contains(&record.data_centre))
-        };
-        let mut random = self.random.borrow_mut();
-        self.members
-            .choose_forwarders(now, limit, &mut random, is_candidate)
-    }
-
-    /// Whether a request may be sent on an open connection through a forwarder.
-    pub(crate) fn may_use_forwarder(
-        &self,
-        forwarder: &Forwarder,
-        allowed: Option<&[DataCentreName]>,
-    ) -> bool {
-        let is_allowed = allowed.is_none_or(|allowed| allowed.contains(&forwarder.data_centre));
-        is_allowed && !self.members.is_failed_or_leaving(&forwarder.node)
-    }
-
     fn ranked(&self, key: &'static str, limit: usize) -> Vec<NodeName> {
         let now = self.owner.now();
         let is_leaving = self.stop.is_stopping();
         self.members.ranked(now, key, is_leaving, limit)
     }
-
-    /// Current values of the gauges on the metrics page.
-    pub(crate) fn gauges(&self) -> Vec<(&'static str, f64)> {
-        let now = self.owner.now();
-        vec![
-            (
-                "platform_silent_s",
-                now.saturating_sub(self.platform_answered_at.get())
-                    .as_secs_f64(),
-            ),
-            ("catalogue_version", self.views.catalogue_version() as f64),
-            (
-                "catalogue_behind_s",
-                self.list_fetches
-                    .catalogue
-                    .time_without_progress(now)
-                    .as_secs_f64(),
-            ),
-            ("registry_version", self.views.registry().version as f64),
-            ("members_known", self.members.known_count() as f64),
-            (
-                "members_visible",
-                self.members.mutually_visible_count(now) as f64,
-            ),
-            ("runs_of_this_entry", self.entry_runs.count() as f64),
-            (
-                "evacuated_data_centres",
-                self.evacuated_data_centres().len() as f64,
-            ),
-            (
-                "runs_in_evacuated_data_centres",
-                self.runs_in_evacuated_data_centres() as f64,
-            ),
-            ("held_bytes", self.held_bytes.held_bytes() as f64),
-            ("requests_waiting_here", self.owner.waiting_count() as f64),
-            ("services_known", self.owner.service_count() as f64),
-            (
-                "cut_off_from_upstreams",
-                f64::from(u8::from(self.upstream_paths.borrow().is_cut_off())),
-            ),
-            (
-                "upstreams_blocked",
-                self.upstream_paths.borrow().blocked_count() as f64,
-            ),
-            ("tunnels_open", self.open_tunnels.get() as f64),
-        ]
-    }
 }
--- a/crates/dragonflystep_edge/src/upstream_dialer.rs
+++ b/crates/dragonflystep_edge/src/upstream_dialer.rs
@@ -7,6 +7,7 @@
     crate::{
         limits::{MAX_FORWARDERS_TRIED, TUNNEL_RACE_DELAY, TUNNEL_TIMEOUT},
         node::Node,
+        settings::MemberRecord,
         upstream_paths::Way,
     },
     dragonflystep_dispatch::{DataCentreName, NodeName},
@@ -218,6 +219,34 @@
 }
 
 impl Node {
+    /// Returns up to `limit` nodes through which upstreams may be reached, those of this data centre and others in turn.
+    /// They are in one of the data centres `allowed`, if there are any.
+    pub(crate) fn forwarders(
+        &self,
+        limit: usize,
+        allowed: Option<&[DataCentreName]>,
+    ) -> Vec<Forwarder> {
+        let now = self.owner.now();
+        let paths = self.upstream_paths.borrow();
+        let is_candidate = |record: &MemberRecord| {
+            !paths.is_avoided(now, &record.node)
+                && allowed.is_none_or(|allowed| allowed.contains(&record.data_centre))
+        };
+        let mut random = self.random.borrow_mut();
+        self.members
+            .choose_forwarders(now, limit, &mut random, is_candidate)
+    }
+
+    /// Whether a request may be sent on an open connection through a forwarder.
+    pub(crate) fn may_use_forwarder(
+        &self,
+        forwarder: &Forwarder,
+        allowed: Option<&[DataCentreName]>,
+    ) -> bool {
+        let is_allowed = allowed.is_none_or(|allowed| allowed.contains(&forwarder.data_centre));
+        is_allowed && !self.members.is_failed_or_leaving(&forwarder.node)
+    }
+
     fn direct_connection(&self, address: &str, stream: Box<dyn NetworkStream>) -> Dialed {
         self.record_connected(address);
         Dialed {
