--- a/examples/measure/system.rs
+++ b/examples/measure/system.rs
@@ -94,7 +94,7 @@
     }
 
     fn start_node(&self, number: usize, gauges: Option<SocketAddr>) -> Result<NodeProcess> {
-        let (caller, mesh, admin) = (free_address()?, free_address()?, free_address()?);
+        let [caller, mesh, admin] = free_addresses()?;
         let mut settings = json!({
             "node": format!("entry-{number}"),
             "data_centre": "a",
@@ -231,9 +231,15 @@
     json!({"model": MODEL, "prompt": "a".repeat(prompt_bytes), "max_tokens": tokens, "stream": true})
 }
 
-/// Returns a loopback address with a free port. The port is not reserved for the caller.
-fn free_address() -> Result<String> {
-    Ok(TcpListener::bind(("127.0.0.1", 0))?
-        .local_addr()?
-        .to_string())
+/// Returns different loopback addresses with free ports. The ports are not reserved for the caller.
+fn free_addresses<const COUNT: usize>() -> Result<[String; COUNT]> {
+    // All listeners stay open until the last one has its port; otherwise the kernel may assign a port twice.
+    let mut listeners = Vec::with_capacity(COUNT);
+    let mut addresses = [const { String::new() }; COUNT];
+    for address in &mut addresses {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        *address = listener.local_addr()?.to_string();
+        listeners.push(listener);
+    }
+    Ok(addresses)
 }
--- a/src/cli/demo/system.rs
+++ b/src/cli/demo/system.rs
@@ -259,12 +259,13 @@
 }
 
 fn node_settings(number: usize, platform: SocketAddr) -> Result<NodeSettings, Failure> {
+    let [caller, mesh, admin] = free_addresses()?;
     let settings = json!({
         "node": format!("entry-{}", number + 1),
         "data_centre": "a",
-        "caller_address": free_address()?.to_string(),
-        "mesh_address": free_address()?.to_string(),
-        "admin_address": free_address()?.to_string(),
+        "caller_address": caller,
+        "mesh_address": mesh,
+        "admin_address": admin,
         "platform": {"address": platform.to_string(), "key": PLATFORM_KEY},
         "mesh_key": MESH_KEY,
         "admin_keys": {"read": READ_KEY, "edit": EDIT_KEY},
@@ -272,7 +273,15 @@
     Ok(NodeSettings::parse(&settings.to_string())?)
 }
 
-/// Returns a loopback address whose port was free a moment ago, because node settings do not accept port 0.
-fn free_address() -> Result<SocketAddr, Failure> {
-    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+/// Returns different loopback addresses whose ports were free a moment ago, because node settings do not accept port 0.
+fn free_addresses<const COUNT: usize>() -> Result<[SocketAddr; COUNT], Failure> {
+    // All listeners stay open until the last one has its port; otherwise the kernel may assign a port twice.
+    let mut listeners = Vec::with_capacity(COUNT);
+    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); COUNT];
+    for address in &mut addresses {
+        let listener = TcpListener::bind(*address)?;
+        *address = listener.local_addr()?;
+        listeners.push(listener);
+    }
+    Ok(addresses)
 }
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -182,18 +182,21 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback has a free port");
-    listener.local_addr().expect("the listener has an address")
+/// Returns different loopback addresses with free ports: all listeners stay open until the last one has its port.
+fn free_addresses() -> [SocketAddr; 3] {
+    let listeners =
+        [(); 3].map(|()| TcpListener::bind(("127.0.0.1", 0)).expect("loopback has a free port"));
+    listeners.map(|listener| listener.local_addr().expect("the listener has an address"))
 }
 
 fn settings(platform: SocketAddr) -> NodeSettings {
+    let [caller, mesh, admin] = free_addresses();
     let settings = json!({
         "node": "entry-1",
         "data_centre": "vasteras",
-        "caller_address": free_address().to_string(),
-        "mesh_address": free_address().to_string(),
-        "admin_address": free_address().to_string(),
+        "caller_address": caller,
+        "mesh_address": mesh,
+        "admin_address": admin,
         "platform": {"address": platform.to_string(), "key": PLATFORM_KEY},
         "mesh_key": "pages-mesh-key-0001",
         "admin_keys": {"read": READ_KEY, "edit": EDIT_KEY},
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -2,13 +2,14 @@
 
 use {
     super::wait_for,
-    rustix::process::{Pid, Signal, kill_process},
+    rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid},
     std::{
         fs::File,
-        io::{BufRead, BufReader},
+        io::{BufRead, BufReader, ErrorKind},
         net::{Ipv4Addr, SocketAddr, TcpListener},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
+        sync::atomic::{AtomicU16, Ordering},
         time::Duration,
     },
 };
@@ -84,6 +85,14 @@
         wait_for("the process exits", limit, check).await.0
     }
 
+    /// Panics with the log if the process has exited.
+    pub fn assert_running(&self) {
+        let options = WaitIdOptions::EXITED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+        let status = waitid(WaitId::Pid(Pid::from_child(&self.child)), options);
+        let is_running = matches!(status, Ok(None));
+        assert!(is_running, "{status:?}; stderr: {}", self.stderr());
+    }
+
     /// Returns everything written to the log, including the output of earlier processes with the same log.
     pub fn stderr(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
@@ -97,11 +106,21 @@
     }
 }
 
-/// Returns an address with a free port on this process's loopback IP. The port is not reserved for the caller.
+/// Returns an address with a free port on this process's loopback IP, never the same one twice.
+///
+/// The ports lie below those that the kernel assigns by itself: it may assign a port again as soon as its listener is
+/// closed, and so give one address to two listeners of a site.
 pub fn loopback_address() -> SocketAddr {
-    let listener =
-        TcpListener::bind((process_ip(), 0)).expect("the loopback interface has a free port");
-    listener.local_addr().expect("a listener has an address")
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from((process_ip(), port));
+        match TcpListener::bind(address) {
+            Ok(_) => return address,
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => panic!("{address} can't be used: {error}"),
+        }
+    }
 }
 
 /// Returns a loopback IP derived from the process id. It is never 127.0.0.1, the source of outgoing connections.
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -252,6 +252,7 @@
                 "every node knows a holder of each group",
                 CONDITION_TIMEOUT,
                 || async {
+                    node.process.assert_running();
                     let holders = node.admin.holders().await;
                     let held = |group: &String| {
                         let mut holders = holders.iter();
