--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -11,7 +11,7 @@
         },
         list_fetch::fetch_if_newer,
         node::Node,
-        upstream_dialer::probe_silent_upstreams,
+        upstream_path_checks::check_silent_upstreams,
     },
     dragonflystep_dispatch::NodeName,
     dragonflystep_peer::{Digest, PeerLink},
@@ -36,8 +36,8 @@
     }
 }
 
-/// Updates at intervals how many nodes are visible, detects pauses of this process and probes upstreams that have fallen
-/// silent, for as long as the node runs.
+/// Updates at intervals how many nodes are visible, detects pauses of this process and checks the paths to upstreams that have
+/// fallen silent, for as long as the node runs.
 pub(crate) async fn watch_visibility(node: Rc<Node>) {
     loop {
         let checked_at = node.owner.now();
@@ -49,7 +49,7 @@
             node.members.record_pause(now);
         }
         node.update_visibility();
-        probe_silent_upstreams(&node);
+        check_silent_upstreams(&node);
     }
 }
 
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -44,6 +44,7 @@
 mod upstream_dialer;
 mod upstream_health;
 mod upstream_notices;
+mod upstream_path_checks;
 mod upstream_paths;
 mod versioned_list;
 mod views;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -227,6 +227,20 @@
 /// Number of upstreams that a node can't connect to, although others do, from which it counts as cut off from all.
 pub(crate) const BLOCKED_PATHS_WHEN_CUT_OFF: usize = 2;
 
+/// Time for which an upstream that is checked directly may stay silent before it is also checked through another node.
+/// Longer than the pauses of a packet that is sent again.
+pub(crate) const TUNNEL_CHECK_DELAY: Duration = Duration::from_millis(250);
+
+/// Time between two nodes through which an upstream is checked.
+pub(crate) const TUNNEL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Timeout for checking an upstream through one node.
+pub(crate) const TUNNEL_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Timeout for checking an upstream directly and through other nodes. With [`UPSTREAM_SILENCE`] it lets a node notice
+/// within 2 s that it is cut off.
+pub(crate) const PATH_CHECK_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Interval at which a node that reaches upstreams only through others tries a direct connection.
 pub(crate) const DIRECT_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
--- a/crates/dragonflystep_edge/src/node/gauges.rs
+++ b/crates/dragonflystep_edge/src/node/gauges.rs
@@ -46,7 +46,7 @@
                 "upstreams_blocked",
                 self.upstream_paths.borrow().blocked_count() as f64,
             ),
-            ("tunnels_open", self.open_tunnels.get() as f64),
+            ("tunnels_open", self.open_tunnels.borrow().count() as f64),
         ]
     }
 }
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -127,6 +127,11 @@
         self.members.listed_count() > 1 && silent_for > MAX_PEER_SILENCE
     }
 
+    /// Whether this node reaches no upstream directly although other nodes do.
+    pub fn is_cut_off_from_upstreams(&self) -> bool {
+        self.upstream_paths.borrow().is_cut_off()
+    }
+
     /// Whether neither another node nor the platform has answered for [`MAX_PEER_SILENCE`], so that this node can't
     /// learn which upstreams leave.
     pub(crate) fn is_isolated(&self) -> bool {
--- a/crates/dragonflystep_edge/src/tunnels.rs
+++ b/crates/dragonflystep_edge/src/tunnels.rs
@@ -8,9 +8,10 @@
         node::Node,
         stop::StopSignal,
     },
+    dragonflystep_dispatch::MonotonicTime,
     dragonflystep_peer::{NetworkStream, RequestedTunnel, TunnelEnd, TunnelRefusal, TunnelTarget},
-    std::{cell::Cell, rc::Rc},
-    tokio::time::{Instant, sleep},
+    std::{cell::Cell, io, rc::Rc},
+    tokio::time::sleep,
 };
 
 /// Opens or refuses a tunnel that another node requested, and serves it until it ends.
@@ -32,7 +33,7 @@
     };
     node.metrics.count("tunnels_total", "opened");
     log::info!(opener:%, address; "opened a tunnel");
-    let result = forward(&node, tunnel, upstream).await;
+    let result = forward(&node, address.clone(), tunnel, upstream).await;
     if let Err(error) = result {
         log::debug!(opener:%, address, error:%; "a tunnel broke");
     }
@@ -40,7 +41,7 @@
 
 async fn connect(node: &Rc<Node>, address: &str) -> Result<Box<dyn NetworkStream>, TunnelRefusal> {
     let max_tunnels = node.settings.max_client_connections as f64 * MAX_TUNNEL_SHARE;
-    if node.stop.is_stopping() || node.open_tunnels.get() as f64 >= max_tunnels {
+    if node.stop.is_stopping() || node.open_tunnels.borrow().count() as f64 >= max_tunnels {
         return Err(TunnelRefusal::Busy);
     }
     let registry = node.views.registry();
@@ -51,43 +52,34 @@
     if node.upstream_paths.borrow().is_cut_off() {
         return Err(TunnelRefusal::NoPath);
     }
-    match node.network.connect(address).await {
-        Ok(upstream) => {
-            node.record_connected(address);
-            Ok(upstream)
+    node.network.connect(address).await.map_err(|error| {
+        log::debug!(address, error:%; "could not connect to an upstream for another node");
+        let paths = node.upstream_paths.borrow();
+        if paths.reaches_others(node.owner.now(), address) {
+            TunnelRefusal::Unreachable
+        } else {
+            TunnelRefusal::NoPath
         }
-        Err(error) => {
-            log::debug!(address, error:%; "could not connect to an upstream for another node");
-            let paths = node.upstream_paths.borrow();
-            if paths.reaches_others(node.owner.now(), address) {
-                Err(TunnelRefusal::Unreachable)
-            } else {
-                Err(TunnelRefusal::NoPath)
-            }
-        }
-    }
+    })
 }
 
 /// Forwards the bytes of a tunnel. While the node stops, an open tunnel counts as an open request until it is idle.
 async fn forward(
     node: &Rc<Node>,
+    address: String,
     tunnel: RequestedTunnel,
     upstream: Box<dyn NetworkStream>,
-) -> std::io::Result<()> {
+) -> io::Result<()> {
     let _open_request = StopSignal::open_request(node);
-    let _open_tunnel = OpenTunnel::new(node);
-    let last_piece = Cell::new((TunnelEnd::Node, Instant::now()));
-    let forwarding = tunnel.forward(upstream, |end| last_piece.set((end, Instant::now())));
+    let open_tunnel = OpenTunnel::new(node, address);
+    let forwarding = tunnel.forward(upstream, |end| open_tunnel.record_piece(end));
     let idle = async {
         // An error means that the node has stopped.
         let _ = node.stop.closing().wait_for(|is_closing| *is_closing).await;
-        loop {
-            let (end, at) = last_piece.get();
-            if end == TunnelEnd::Upstream && at.elapsed() >= IDLE_TUNNEL_TIME {
-                return Ok(());
-            }
+        while !open_tunnel.is_idle() {
             sleep(TUNNEL_STOP_CHECK_INTERVAL).await;
         }
+        Ok(())
     };
     tokio::select! {
         result = forwarding => result,
@@ -95,19 +87,75 @@
     }
 }
 
-/// Counts a tunnel as open until it is dropped.
-struct OpenTunnel(Rc<Node>);
+/// The tunnels that a node serves.
+#[derive(Default)]
+pub(crate) struct OpenTunnels(Vec<Rc<TunnelState>>);
+
+impl OpenTunnels {
+    /// Number of tunnels.
+    pub(crate) fn count(&self) -> usize {
+        self.0.len()
+    }
+
+    /// The upstreams that have yet to answer the last bytes of a node, with the time since when.
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = (&str, MonotonicTime)> {
+        self.0.iter().filter_map(|tunnel| {
+            let (end, at) = tunnel.last_piece.get();
+            (end == TunnelEnd::Node).then_some((tunnel.address.as_str(), at))
+        })
+    }
+}
+
+struct TunnelState {
+    /// Address of the upstream, as IP:PORT.
+    address: String,
+    /// Who sent the last piece, and when. A new tunnel, in which nobody waits for anything, counts like an answered one.
+    last_piece: Cell<(TunnelEnd, MonotonicTime)>,
+}
+
+/// A tunnel that is listed among the open ones until it is dropped.
+struct OpenTunnel {
+    node: Rc<Node>,
+    state: Rc<TunnelState>,
+    /// When its connection to the upstream was opened, until the upstream has sent something.
+    unproved_since: Cell<Option<MonotonicTime>>,
+}
 
 impl OpenTunnel {
-    fn new(node: &Rc<Node>) -> Self {
-        node.open_tunnels.set(node.open_tunnels.get() + 1);
-        Self(node.clone())
+    fn new(node: &Rc<Node>, address: String) -> Self {
+        let now = node.owner.now();
+        let state = Rc::new(TunnelState {
+            address,
+            last_piece: Cell::new((TunnelEnd::Upstream, now)),
+        });
+        node.open_tunnels.borrow_mut().0.push(state.clone());
+        Self {
+            node: node.clone(),
+            state,
+            unproved_since: Cell::new(Some(now)),
+        }
+    }
+
+    fn record_piece(&self, end: TunnelEnd) {
+        let now = self.node.owner.now();
+        self.state.last_piece.set((end, now));
+        if end == TunnelEnd::Upstream {
+            let unproved_since = self.unproved_since.take();
+            self.node
+                .record_direct_answer(&self.state.address, unproved_since);
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        let (end, at) = self.state.last_piece.get();
+        let elapsed = self.node.owner.now().saturating_sub(at);
+        end == TunnelEnd::Upstream && elapsed >= IDLE_TUNNEL_TIME
     }
 }
 
 impl Drop for OpenTunnel {
     fn drop(&mut self) {
-        let open_tunnels = &self.0.open_tunnels;
-        open_tunnels.set(open_tunnels.get() - 1);
+        let mut tunnels = self.node.open_tunnels.borrow_mut();
+        tunnels.0.retain(|state| !Rc::ptr_eq(state, &self.state));
     }
 }
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -7,7 +7,7 @@
         upstream_dialer::{DialError, Dialed, Forwarder, dial},
     },
     bytes::Bytes,
-    dragonflystep_dispatch::DataCentreName,
+    dragonflystep_dispatch::{DataCentreName, MonotonicTime},
     http::{Request, Response},
     http_body_util::Full,
     hyper::{
@@ -48,6 +48,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// The node through which it goes; none if it is direct.
     forwarder: Option<Forwarder>,
+    /// When it was opened, until it has carried an answer.
+    unproved_since: Option<MonotonicTime>,
 }
 
 impl OpenConnection {
@@ -168,6 +170,16 @@
             }
         }
         let dialed = dial(self, address, allowed).await?;
+        self.send_on_new(address, dialed, request).await
+    }
+
+    /// Sends a request on a new connection.
+    pub(crate) async fn send_on_new(
+        &self,
+        address: &str,
+        dialed: Dialed,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, OpenConnection), SendError> {
         let connection = open_http(address, dialed)
             .await
             .map_err(SendError::NotSent)?;
@@ -198,8 +210,10 @@
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 if connection.is_direct() {
-                    let mut paths = self.upstream_paths.borrow_mut();
-                    paths.record_answer(self.owner.now(), &connection.address);
+                    self.record_direct_answer(
+                        &connection.address,
+                        connection.unproved_since.take(),
+                    );
                 }
                 Ok((response, connection))
             }
@@ -235,5 +249,6 @@
         address: address.to_owned(),
         sender,
         forwarder: dialed.forwarder,
+        unproved_since: Some(dialed.opened_at),
     })
 }
--- a/crates/dragonflystep_edge/src/upstream_dialer.rs
+++ b/crates/dragonflystep_edge/src/upstream_dialer.rs
@@ -8,9 +8,10 @@
         limits::{MAX_FORWARDERS_TRIED, TUNNEL_RACE_DELAY, TUNNEL_TIMEOUT},
         node::Node,
         settings::MemberRecord,
+        upstream_path_checks::probe,
         upstream_paths::Way,
     },
-    dragonflystep_dispatch::{DataCentreName, NodeName},
+    dragonflystep_dispatch::{DataCentreName, MonotonicTime, NodeName},
     dragonflystep_peer::{NetworkStream, TunnelError, TunnelRefusal, open_tunnel},
     std::{
         future::Future,
@@ -35,6 +36,7 @@
     pub(crate) stream: Box<dyn NetworkStream>,
     /// The node through which it goes; none if it is direct.
     pub(crate) forwarder: Option<Forwarder>,
+    pub(crate) opened_at: MonotonicTime,
 }
 
 /// Why an upstream could not be connected to. Nothing was sent to it.
@@ -91,14 +93,14 @@
     let mut direct: DirectAttempt = Box::pin(async move { network.connect(&target).await });
     let early_result = timeout(TUNNEL_RACE_DELAY, &mut direct).await;
     if let Ok(Ok(stream)) = early_result {
-        return Ok(node.direct_connection(address, stream));
+        return Ok(node.direct_connection(stream));
     }
     let now = node.owner.now();
     let may_open_tunnel = node.upstream_paths.borrow_mut().take_fallback_permit(now);
     match (early_result, may_open_tunnel) {
         (Err(_), true) => race_with_tunnel(node, address, allowed, direct).await,
         (Err(_), false) => match direct.await {
-            Ok(stream) => Ok(node.direct_connection(address, stream)),
+            Ok(stream) => Ok(node.direct_connection(stream)),
             Err(error) => Err(node.classify_failure(address, None, error)),
         },
         (Ok(Err(error)), true) => {
@@ -106,7 +108,7 @@
             node.use_tunnel_after_failure(address, tunnel, error)
         }
         (Ok(Err(error)), false) => Err(node.classify_failure(address, None, error)),
-        (Ok(Ok(stream)), _) => Ok(node.direct_connection(address, stream)),
+        (Ok(Ok(stream)), _) => Ok(node.direct_connection(stream)),
     }
 }
 
@@ -124,21 +126,21 @@
     let verdict = tokio::select! {
         biased;
         result = &mut direct => match result {
-            Ok(stream) => return Ok(node.direct_connection(address, stream)),
+            Ok(stream) => return Ok(node.direct_connection(stream)),
             Err(error) => return node.use_tunnel_after_failure(address, tunnel.await, error),
         },
         opened = &mut tunnel => match opened {
             Ok(dialed) => {
                 // Whether the direct attempt fails or is only slow shows later.
                 let (node, address) = (node.clone(), address.to_owned());
-                spawn_local(async move { node.finish_probe(&address, direct.await) });
+                spawn_local(async move { node.finish_raced(&address, direct.await).await });
                 return Ok(dialed);
             }
             Err(verdict) => verdict,
         },
     };
     match direct.await {
-        Ok(stream) => Ok(node.direct_connection(address, stream)),
+        Ok(stream) => Ok(node.direct_connection(stream)),
         Err(error) => Err(node.classify_failure(address, verdict, error)),
     }
 }
@@ -151,71 +153,45 @@
     allowed: Option<&[DataCentreName]>,
 ) -> Result<Dialed, Option<TunnelRefusal>> {
     for forwarder in node.forwarders(MAX_FORWARDERS_TRIED, allowed) {
-        let name = &node.settings.node;
-        let network = &*node.network;
-        let opening = open_tunnel(network, &forwarder.address, name, address, TUNNEL_TIMEOUT);
-        let error = match opening.await {
-            Ok(stream) => {
-                return Ok(Dialed {
-                    stream,
-                    forwarder: Some(forwarder),
-                });
-            }
-            Err(error) => error,
-        };
-        log::info!(forwarder:% = forwarder.node, address, error:%; "no tunnel to an upstream through another node");
-        match error {
-            TunnelError::Refused(TunnelRefusal::Unreachable) => {
+        match open_tunnel_through(node, forwarder, address).await {
+            Ok(dialed) => return Ok(dialed),
+            Err(TunnelError::Refused(TunnelRefusal::Unreachable)) => {
                 return Err(Some(TunnelRefusal::Unreachable));
             }
-            TunnelError::Refused(TunnelRefusal::UnknownUpstream) => {}
-            TunnelError::Refused(TunnelRefusal::NoPath | TunnelRefusal::Busy)
-            | TunnelError::Forwarder(_) => {
-                let mut paths = node.upstream_paths.borrow_mut();
-                paths.avoid_forwarder(node.owner.now(), &forwarder.node);
-            }
+            Err(_) => {}
         }
     }
     Err(None)
 }
 
-/// Tries a direct connection, to notice when it works again, and keeps it for the next request.
-async fn probe(node: Rc<Node>, address: String) {
-    let result = node.network.connect(&address).await;
-    match result {
-        Ok(stream) => node.finish_probe(&address, Ok(stream)),
-        Err(error) => log::debug!(address, error:%; "an upstream can't be reached directly yet"),
-    }
-}
-
-/// Connects to upstreams at which requests wait while all upstreams are silent, to notice whether this node is cut off
-/// from them.
-pub(crate) fn probe_silent_upstreams(node: &Rc<Node>) {
-    let runs = node.entry_runs.runs.borrow();
-    let waiting = runs
-        .values()
-        .map(|run| (run.upstream.clone(), run.started_at));
-    let silent = node
-        .upstream_paths
-        .borrow_mut()
-        .silent_upstreams(node.owner.now(), waiting);
-    if silent.is_empty() {
-        return;
-    }
-    node.metrics.count("upstream_silence_probes_total", "all");
-    let registry = node.views.registry();
-    let upstreams = registry.upstreams.iter();
-    for upstream in upstreams.filter(|upstream| silent.contains(&upstream.id)) {
-        spawn_local(dial_and_keep(node.clone(), upstream.address.clone()));
-    }
-}
-
-/// Opens a connection for the next request.
-async fn dial_and_keep(node: Rc<Node>, address: String) {
-    match dial(&node, &address, None).await {
-        Ok(dialed) => node.keep_new_connection(&address, dialed).await,
-        Err(error) => log::debug!(address, error:?; "a silent upstream could not be reached"),
+/// Opens a tunnel through a node, which is left out for a while if it can't open any.
+pub(crate) async fn open_tunnel_through(
+    node: &Node,
+    forwarder: Forwarder,
+    address: &str,
+) -> Result<Dialed, TunnelError> {
+    let name = &node.settings.node;
+    let network = &*node.network;
+    let opening = open_tunnel(network, &forwarder.address, name, address, TUNNEL_TIMEOUT);
+    let error = match opening.await {
+        Ok(stream) => {
+            return Ok(Dialed {
+                stream,
+                forwarder: Some(forwarder),
+                opened_at: node.owner.now(),
+            });
+        }
+        Err(error) => error,
+    };
+    log::info!(forwarder:% = forwarder.node, address, error:%; "no tunnel to an upstream through another node");
+    if matches!(
+        error,
+        TunnelError::Refused(TunnelRefusal::NoPath | TunnelRefusal::Busy)
+            | TunnelError::Forwarder(_)
+    ) {
+        node.avoid_forwarder(&forwarder.node);
     }
+    Err(error)
 }
 
 impl Node {
@@ -237,6 +213,12 @@
             .choose_forwarders(now, limit, &mut random, is_candidate)
     }
 
+    /// Leaves a node out as a forwarder for a while.
+    pub(crate) fn avoid_forwarder(&self, forwarder: &NodeName) {
+        let mut paths = self.upstream_paths.borrow_mut();
+        paths.avoid_forwarder(self.owner.now(), forwarder);
+    }
+
     /// Whether a request may be sent on an open connection through a forwarder.
     pub(crate) fn may_use_forwarder(
         &self,
@@ -247,21 +229,28 @@
         is_allowed && !self.members.is_failed_or_leaving(&forwarder.node)
     }
 
-    fn direct_connection(&self, address: &str, stream: Box<dyn NetworkStream>) -> Dialed {
-        self.record_connected(address);
+    pub(crate) fn direct_connection(&self, stream: Box<dyn NetworkStream>) -> Dialed {
         Dialed {
             stream,
             forwarder: None,
+            opened_at: self.owner.now(),
         }
     }
 
-    /// Records that a direct connection was opened.
-    pub(crate) fn record_connected(&self, address: &str) {
+    /// Records an answer over a direct connection; `unproved_since` is when it was opened if this is its first answer.
+    pub(crate) fn record_direct_answer(
+        &self,
+        address: &str,
+        unproved_since: Option<MonotonicTime>,
+    ) {
         let now = self.owner.now();
-        let cut_off_since = self
-            .upstream_paths
-            .borrow_mut()
-            .record_connected(now, address);
+        let mut paths = self.upstream_paths.borrow_mut();
+        let Some(opened_at) = unproved_since else {
+            paths.record_answer(now, address);
+            return;
+        };
+        let cut_off_since = paths.record_connected(now, address, opened_at);
+        drop(paths);
         if let Some(since) = cut_off_since {
             self.connections.close_idle_tunnels();
             log::info!(cut_off_for_ms = now.saturating_sub(since).as_millis() as u64; "this node reaches upstreams directly again");
@@ -269,7 +258,7 @@
     }
 
     /// Records that another node reaches an upstream to which this node can't connect.
-    fn record_blocked(&self, address: &str) {
+    pub(crate) fn record_blocked(&self, address: &str) {
         // Connections from before may hang.
         self.connections.close_idle(address);
         let now = self.owner.now();
@@ -287,13 +276,12 @@
         }
     }
 
-    /// Records how a direct connection ended that was raced by a tunnel or tried in addition to one.
-    fn finish_probe(self: &Rc<Self>, address: &str, result: io::Result<Box<dyn NetworkStream>>) {
+    /// Keeps a direct connection that was slower than a tunnel, or records that it failed.
+    async fn finish_raced(&self, address: &str, result: io::Result<Box<dyn NetworkStream>>) {
         match result {
             Ok(stream) => {
-                let (node, address) = (self.clone(), address.to_owned());
-                let dialed = self.direct_connection(&address, stream);
-                spawn_local(async move { node.keep_new_connection(&address, dialed).await });
+                let dialed = self.direct_connection(stream);
+                self.keep_new_connection(address, dialed).await;
             }
             Err(error) => {
                 log::debug!(address, error:%; "a direct connection failed while another node reached the upstream");
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -1,6 +1,7 @@
-//! Asks an upstream whether it takes requests when neither the platform nor another node can tell.
+//! Sends health checks: to learn whether an upstream takes requests when neither the platform nor another node can tell,
+//! and whether a connection carries anything.
 //!
-//! It is designed for two situations that an isolated node can't tell apart: it is cut off from all others while
+//! The first is designed for two situations that an isolated node can't tell apart: it is cut off from all others while
 //! the platform's store refuses it, or it is the last node left while the store is unavailable. In the first, its
 //! registry may list upstreams that have begun to leave. In the second, it has to serve requests.
 
@@ -8,20 +9,22 @@
     crate::{
         limits::{UPSTREAM_HEALTH_LIFETIME, UPSTREAM_HEALTH_TIMEOUT},
         node::Node,
-        upstream_connections::SendError,
+        upstream_connections::{OpenConnection, SendError},
+        upstream_dialer::Dialed,
         upstream_notices::ObservedAnswer,
     },
     bytes::Bytes,
     dragonflystep_dispatch::{Grant, MonotonicTime, ServiceName, UpstreamId},
-    http::{HeaderValue, Request, header, uri::InvalidUri},
+    http::{HeaderValue, Request, Response, header, uri::InvalidUri},
     http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
     std::{cell::RefCell, collections::HashMap, rc::Rc},
     tokio::time::{Instant, timeout},
 };
 
 /// Why an upstream did not answer whether it takes requests.
 #[derive(Debug, thiserror::Error)]
-enum HealthError {
+pub(crate) enum HealthError {
     /// The service's health path is not a valid URI.
     #[error("the health path is not a valid URI: {0}")]
     Path(#[from] InvalidUri),
@@ -74,7 +77,7 @@
     if !node.is_isolated() {
         return true;
     }
-    let Some(path) = health_path(node, service) else {
+    let Some(check) = HealthCheck::new(node, service, &grant.upstream, &grant.address) else {
         return true;
     };
     if let Some(takes_requests) = node
@@ -83,11 +86,7 @@
     {
         return takes_requests;
     }
-    let result = timeout(
-        UPSTREAM_HEALTH_TIMEOUT,
-        send_health_check(node, service, &path, grant),
-    )
-    .await;
+    let result = timeout(UPSTREAM_HEALTH_TIMEOUT, check.send(node)).await;
     let takes_requests = match result {
         Ok(Ok(takes_requests)) => takes_requests,
         Ok(Err(error)) => {
@@ -106,38 +105,92 @@
     takes_requests
 }
 
-/// The path at which the upstreams of a service answer health checks; `None` if they have none.
-fn health_path(node: &Node, service: &ServiceName) -> Option<String> {
-    let table = node.views.catalogue()?;
-    let path = &table.service(service)?.health_path;
-    (!path.is_empty()).then(|| path.clone())
+/// A health check of an upstream.
+pub(crate) struct HealthCheck {
+    service: ServiceName,
+    upstream: UpstreamId,
+    /// Address of the upstream, as IP:PORT.
+    address: String,
+    path: String,
 }
 
-async fn send_health_check(
-    node: &Rc<Node>,
-    service: &ServiceName,
-    path: &str,
-    grant: &Grant,
-) -> Result<bool, HealthError> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = path.parse()?;
-    if let Ok(host) = HeaderValue::from_str(&grant.address) {
-        request.headers_mut().insert(header::HOST, host);
+impl HealthCheck {
+    /// Returns none if the upstreams of the service do not answer health checks.
+    fn new(
+        node: &Node,
+        service: &ServiceName,
+        upstream: &UpstreamId,
+        address: &str,
+    ) -> Option<Self> {
+        let table = node.views.catalogue()?;
+        let path = &table.service(service)?.health_path;
+        (!path.is_empty()).then(|| Self {
+            service: service.clone(),
+            upstream: upstream.clone(),
+            address: address.to_owned(),
+            path: path.clone(),
+        })
+    }
+
+    /// Returns the check of the upstream at an address. None if no upstream is registered there, or if it does not answer
+    /// health checks.
+    pub(crate) fn of_address(node: &Node, address: &str) -> Option<Self> {
+        let registry = node.views.registry();
+        let mut upstreams = registry.upstreams.iter();
+        let upstream = upstreams.find(|upstream| upstream.address == address)?;
+        Self::new(node, &upstream.service, &upstream.id, address)
+    }
+
+    /// Sends the check, and returns whether the upstream takes requests.
+    async fn send(&self, node: &Rc<Node>) -> Result<bool, HealthError> {
+        let sent_at = Instant::now();
+        let answered = node
+            .send_upstream(&self.address, self.request()?, None)
+            .await?;
+        self.finish(node, sent_at, answered).await
+    }
+
+    /// Sends the check on a new connection, which is kept for requests, and returns whether the upstream takes requests.
+    pub(crate) async fn send_on_new(
+        &self,
+        node: &Node,
+        dialed: Dialed,
+    ) -> Result<bool, HealthError> {
+        let sent_at = Instant::now();
+        let answered = node
+            .send_on_new(&self.address, dialed, self.request()?)
+            .await?;
+        self.finish(node, sent_at, answered).await
+    }
+
+    fn request(&self) -> Result<Request<Full<Bytes>>, HealthError> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = self.path.parse()?;
+        if let Ok(host) = HeaderValue::from_str(&self.address) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        Ok(request)
+    }
+
+    async fn finish(
+        &self,
+        node: &Node,
+        sent_at: Instant,
+        (response, connection): (Response<Incoming>, OpenConnection),
+    ) -> Result<bool, HealthError> {
+        let (head, body) = response.into_parts();
+        body.collect().await?;
+        let facts = node.dialect.read_answer(head.status, &head.headers);
+        node.observe_notices(&ObservedAnswer {
+            service: &self.service,
+            upstream: &self.upstream,
+            request_id: "",
+            facts: &facts,
+            sent_ago: sent_at.elapsed(),
+        });
+        node.connections.keep(connection, facts.keep_alive);
+        Ok(node
+            .dialect
+            .is_taking_requests(head.status, &head.headers, &self.upstream))
     }
-    let sent_at = Instant::now();
-    let (response, connection) = node.send_upstream(&grant.address, request, None).await?;
-    let (head, body) = response.into_parts();
-    body.collect().await?;
-    let facts = node.dialect.read_answer(head.status, &head.headers);
-    node.observe_notices(&ObservedAnswer {
-        service,
-        upstream: &grant.upstream,
-        request_id: "",
-        facts: &facts,
-        sent_ago: sent_at.elapsed(),
-    });
-    node.connections.keep(connection, facts.keep_alive);
-    Ok(node
-        .dialect
-        .is_taking_requests(head.status, &head.headers, &grant.upstream))
 }
--- a/crates/dragonflystep_edge/src/upstream_paths.rs
+++ b/crates/dragonflystep_edge/src/upstream_paths.rs
@@ -35,14 +35,14 @@
 pub(crate) struct UpstreamPaths {
     /// Addresses of upstreams that other nodes reach and this one does not.
     blocked: HashMap<String, BlockedPath>,
-    /// When a direct connection was last opened.
+    /// When the latest direct connection that has carried an answer was opened.
     connected_at: Option<MonotonicTime>,
     /// When each upstream last answered over a direct connection, by its address.
     answered_at: HashMap<String, MonotonicTime>,
     /// When any upstream last sent anything over a direct connection.
     heard_at: MonotonicTime,
     cut_off_since: Option<MonotonicTime>,
-    /// When a direct connection is tried next while the node is cut off, and when silent upstreams are probed next.
+    /// When a direct connection is tried next while the node is cut off, and when silent upstreams are checked next.
     next_probe_at: MonotonicTime,
     fallback_limiter: FallbackLimiter,
     /// Nodes that recently could not open a tunnel, with the time from which they are tried again.
@@ -105,17 +105,22 @@
         Way::Tunnel { is_probe_due }
     }
 
-    /// Records that a direct connection was opened. Returns since when the node had been cut off from all upstreams, if
-    /// it was until now.
+    /// Records the first answer over a direct connection that was opened at `opened_at`. Returns since when the node had
+    /// been cut off from all upstreams, if it was until now.
+    ///
+    /// A connection that only opens proves nothing, as it may carry no bytes; one that was opened before a cut may live
+    /// on.
     pub(crate) fn record_connected(
         &mut self,
         now: MonotonicTime,
         address: &str,
+        opened_at: MonotonicTime,
     ) -> Option<MonotonicTime> {
-        self.connected_at = Some(now);
-        self.blocked.remove(address);
+        self.connected_at = self.connected_at.max(Some(opened_at));
         self.record_answer(now, address);
-        let since = self.cut_off_since.take()?;
+        self.blocked
+            .retain(|blocked, path| blocked != address || path.since > opened_at);
+        let since = self.cut_off_since.take_if(|since| *since <= opened_at)?;
         self.blocked.clear();
         Some(since)
     }
@@ -180,9 +185,9 @@
         self.fallback_limiter.take(now)
     }
 
-    /// Chooses the upstreams to be probed, if nothing was heard from any upstream for [`UPSTREAM_SILENCE`] although
-    /// requests have been waiting for that long. `waiting` has the upstream of each request and the time since when it
-    /// waits.
+    /// Chooses the upstreams whose paths are to be checked, if nothing was heard from any upstream for
+    /// [`UPSTREAM_SILENCE`] although requests have been waiting for that long. `waiting` has the upstream of each request
+    /// and the time since when it waits.
     pub(crate) fn silent_upstreams(
         &mut self,
         now: MonotonicTime,
--- a/crates/dragonflystep_peer/src/tunnel.rs
+++ b/crates/dragonflystep_peer/src/tunnel.rs
@@ -2,8 +2,8 @@
 //!
 //! A tunnel is a connection of its own to the address at which the other node (the forwarder) listens for calls. It
 //! begins with [`PREAMBLE`], by which the forwarder tells it from a connection for calls, and a frame with the name of the
-//! opening node and the upstream's address, a line each. The forwarder answers with a frame that holds a status byte. After that, the bytes for the
-//! upstream are sent as they are, and those from the upstream in frames.
+//! opening node and the upstream's address, a line each. The forwarder answers with a frame that holds a status byte.
+//! After that, the bytes for the upstream are sent as they are, and those from the upstream in frames.
 //!
 //! The frames keep a broken connection apart from one that the upstream closed: an empty frame says that the upstream
 //! closed it. An answer that ends with its connection would otherwise look complete when the forwarder is killed.
@@ -308,13 +308,12 @@
             let mut buffer = vec![0; BUFFER_BYTES];
             loop {
                 let count = from_upstream.read(&mut buffer).await?;
-                observe(TunnelEnd::Upstream);
-                to_node
-                    .send(Bytes::copy_from_slice(&buffer[..count]))
-                    .await?;
-                if count == 0 {
-                    return Ok(());
+                let piece = Bytes::copy_from_slice(&buffer[..count]);
+                if piece.is_empty() {
+                    return to_node.send(piece).await;
                 }
+                observe(TunnelEnd::Upstream);
+                to_node.send(piece).await?;
             }
         };
         // Dropping both connections tells the upstream that the caller left, and the node that the upstream did.
