--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -106,6 +106,7 @@
                 }
                 if is_head_timeout {
                     node.metrics.count("connections_closed_total", "slow_head");
+                    log::info!(door:? = kind; "closed a connection whose request head did not arrive in time");
                     return;
                 }
                 is_closing = true;
--- a/crates/dragonflystep_peer/src/network.rs
+++ b/crates/dragonflystep_peer/src/network.rs
@@ -21,6 +21,10 @@
 /// objective of a request.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Number of connections that may wait to be accepted, which the kernel may lower. Those beyond are reset. It allows for
+/// hundreds of callers that connect at once while the node is busy for a moment.
+const LISTEN_BACKLOG: u32 = 4_096;
+
 /// A byte stream to another node, an upstream or a caller.
 pub trait NetworkStream: AsyncRead + AsyncWrite + Unpin {}
 
@@ -63,15 +67,19 @@
         let address: SocketAddr = address
             .parse()
             .map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))?;
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
+        let socket = new_socket(address)?;
         socket.bind(SocketAddr::new(source_ip, 0))?;
         socket.connect(address).await
     }
 }
 
+fn new_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }
+}
+
 impl Network for TcpNetwork {
     fn connect<'a>(&'a self, address: &'a str) -> StreamFuture<'a> {
         Box::pin(async move {
@@ -84,7 +92,11 @@
 
     fn listen(&self, address: SocketAddr) -> ListenerFuture<'_> {
         Box::pin(async move {
-            let listener: Box<dyn NetworkListener> = Box::new(TcpListener::bind(address).await?);
+            let socket = new_socket(address)?;
+            // A restarted node listens at the same address while old connections there still expire.
+            socket.set_reuseaddr(true)?;
+            socket.bind(address)?;
+            let listener: Box<dyn NetworkListener> = Box::new(socket.listen(LISTEN_BACKLOG)?);
             Ok(listener)
         })
     }
