--- a/crates/dragonflystep_edge/src/tunnels.rs
+++ b/crates/dragonflystep_edge/src/tunnels.rs
@@ -20,7 +20,9 @@
         opener,
         upstream: address,
     } = target;
-    let upstream = match connect(&node, &address).await {
+    // It counts from now on, as many may be requested at once.
+    let open_tunnel = OpenTunnel::new(&node, address.clone());
+    let upstream = match connect(&node, &open_tunnel).await {
         Ok(upstream) => upstream,
         Err(refusal) => {
             node.metrics.count("tunnels_total", refusal.name());
@@ -33,17 +35,21 @@
     };
     node.metrics.count("tunnels_total", "opened");
     log::info!(opener:%, address; "opened a tunnel");
-    let result = forward(&node, address.clone(), tunnel, upstream).await;
+    let result = forward(&node, &open_tunnel, tunnel, upstream).await;
     if let Err(error) = result {
         log::debug!(opener:%, address, error:%; "a tunnel broke");
     }
 }
 
-async fn connect(node: &Rc<Node>, address: &str) -> Result<Box<dyn NetworkStream>, TunnelRefusal> {
+async fn connect(
+    node: &Rc<Node>,
+    tunnel: &OpenTunnel,
+) -> Result<Box<dyn NetworkStream>, TunnelRefusal> {
     let max_tunnels = node.settings.max_client_connections as f64 * MAX_TUNNEL_SHARE;
-    if node.stop.is_stopping() || node.open_tunnels.borrow().count() as f64 >= max_tunnels {
+    if node.stop.is_stopping() || node.open_tunnels.borrow().count() as f64 > max_tunnels {
         return Err(TunnelRefusal::Busy);
     }
+    let address = tunnel.state.address.as_str();
     let registry = node.views.registry();
     let mut upstreams = registry.upstreams.iter();
     if !upstreams.any(|upstream| upstream.address == address) {
@@ -52,7 +58,7 @@
     if node.upstream_paths.borrow().is_cut_off() {
         return Err(TunnelRefusal::NoPath);
     }
-    node.network.connect(address).await.map_err(|error| {
+    let upstream = node.network.connect(address).await.map_err(|error| {
         log::debug!(address, error:%; "could not connect to an upstream for another node");
         let paths = node.upstream_paths.borrow();
         if paths.reaches_others(node.owner.now(), address) {
@@ -60,18 +66,19 @@
         } else {
             TunnelRefusal::NoPath
         }
-    })
+    })?;
+    tunnel.unproved_since.set(Some(node.owner.now()));
+    Ok(upstream)
 }
 
 /// Forwards the bytes of a tunnel. While the node stops, an open tunnel counts as an open request until it is idle.
 async fn forward(
     node: &Rc<Node>,
-    address: String,
+    open_tunnel: &OpenTunnel,
     tunnel: RequestedTunnel,
     upstream: Box<dyn NetworkStream>,
 ) -> io::Result<()> {
     let _open_request = StopSignal::open_request(node);
-    let open_tunnel = OpenTunnel::new(node, address);
     let forwarding = tunnel.forward(upstream, |end| open_tunnel.record_piece(end));
     let idle = async {
         // An error means that the node has stopped.
@@ -113,7 +120,7 @@
     last_piece: Cell<(TunnelEnd, MonotonicTime)>,
 }
 
-/// A tunnel that is listed among the open ones until it is dropped.
+/// A requested tunnel, which is listed among the open ones until it is dropped.
 struct OpenTunnel {
     node: Rc<Node>,
     state: Rc<TunnelState>,
@@ -132,7 +139,7 @@
         Self {
             node: node.clone(),
             state,
-            unproved_since: Cell::new(Some(now)),
+            unproved_since: Cell::default(),
         }
     }
 
