--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -4,108 +4,26 @@
     crate::{
         catalogue::Catalogue,
         crash_suspects::CrashSuspects,
+        event::{Effect, Event, SharedLimits},
         ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
         limits::{OVERLAP_RATE_SHARE, OWNER_OVERLAP},
-        messages::{
-            ActiveRun, BackOff, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest,
-            UpstreamLoad,
-        },
+        messages::{BackOff, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest},
         notices::{UpstreamNotice, UpstreamNotices},
-        ownership::{Visibility, partition_limit_share},
+        ownership::partition_limit_share,
         pool::{PoolSummary, ServicePool},
-        quota::{QuotaRules, Quotas},
+        quota::Quotas,
         refusal::refuse,
         retry_budget::RetryLimits,
-        rollout::{RolloutOrder, RolloutPhase, RolloutRules, RolloutStep},
+        rollout::{RolloutRules, RolloutStep},
         upstream::Upstream,
-        usage::UsageReport,
         warm_up::WarmUpRules,
     },
     std::{
         collections::{BTreeSet, HashMap, HashSet},
-        sync::Arc,
         time::Duration,
     },
 };
 
-/// Limits that operators set for all nodes together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SharedLimits {
-    /// Permitted retries of a service, as a share of its requests.
-    pub retry_ratio: f64,
-    /// Permitted retries of a service in each window, in addition to [`retry_ratio`](Self::retry_ratio).
-    pub retry_slack: f64,
-    /// Length of the window in which retries are counted, in seconds.
-    pub retry_window_s: u64,
-    /// Window and tolerance by which the accounts' quotas are enforced.
-    pub quota: QuotaRules,
-    /// How many requests an unproven new version may get.
-    pub rollout: RolloutRules,
-    /// How many requests a cold upstream may get.
-    pub warm_up: WarmUpRules,
-}
-
-impl SharedLimits {
-    fn retries(&self) -> RetryLimits {
-        RetryLimits {
-            ratio: self.retry_ratio,
-            slack: self.retry_slack,
-            window_s: self.retry_window_s.max(1),
-        }
-    }
-}
-
-/// Something that happened and that the dispatcher reacts to.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// An entry node requests a slot.
-    SlotRequested(SlotRequest),
-    /// An entry node no longer waits for a slot, for example because the caller left.
-    RequestWithdrawn(ServiceName, RunId),
-    /// An entry node reported the end of a run.
-    RunEnded(RunReport),
-    /// An entry node reported an active run that another owner granted.
-    ActiveRunReported(ActiveRun),
-    /// An entry node reported what accounts recently used through it, which it does before it sends slot requests to a
-    /// new owner.
-    UsageReported(UsageReport),
-    /// The list of nodes changed and now has this length.
-    NodeCountChanged(usize),
-    /// The limits that operators set for all nodes together changed.
-    LimitsChanged(SharedLimits),
-    /// A new version of the catalogue came into force.
-    CatalogueChanged(Arc<Catalogue>),
-    /// The registry of upstreams changed; contains all of its entries.
-    UpstreamsChanged(Vec<Upstream>),
-    /// The operator's evacuations changed; contains all data centres whose upstreams get no requests.
-    EvacuationsChanged(BTreeSet<DataCentreName>),
-    /// The number of nodes that this node sees changed.
-    VisibilityChanged(Visibility),
-    /// The number of nodes that recently called this one, or answered its calls, changed.
-    RecentContactsChanged(Visibility),
-    /// An upstream reported its load.
-    LoadObserved(UpstreamLoad),
-    /// An upstream stated something about itself in an answer.
-    NoticeReceived(UpstreamNotice),
-    /// An operator ordered a roll-out, or the details of a known order changed.
-    RolloutOrdered(RolloutOrder),
-    /// The order with this number was decided by another node, or by an earlier owner.
-    RolloutSettled(ServiceName, u64, RolloutPhase),
-    /// An operator withdrew the roll-out order of a service.
-    RolloutWithdrawn(ServiceName),
-    /// Time passed; expires waiting requests and advances roll-outs.
-    Ticked,
-}
-
-/// A decision that has to be sent to an entry node.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Effect {
-    /// The run for which a slot was requested.
-    pub run: RunId,
-    /// Whether the run gets a slot.
-    pub decision: SlotDecision,
-}
-
 /// Makes the scheduling decisions of one node, for all services that it owns.
 ///
 /// # Examples
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod catalogue;
 mod crash_suspects;
 mod dispatcher;
+mod event;
 mod ids;
 mod limits;
 mod messages;
@@ -39,7 +40,8 @@
         Account, AccountQuota, Catalogue, ClientLimits, Engine, QuotaUnit, Route, RouteKind,
         Service, Target, WarmUp,
     },
-    dispatcher::{Dispatcher, Effect, Event, SharedLimits},
+    dispatcher::Dispatcher,
+    event::{Effect, Event, SharedLimits},
     ids::{
         AccountName, DataCentreName, MonotonicTime, NodeIncarnation, NodeName, PromptSegmentId,
         RegionName, RequestFingerprint, RouteName, RunId, ServiceName, Tier, UpstreamId,
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -14,7 +14,7 @@
     self::{candidates::Search, placing::Choice},
     crate::{
         catalogue::{Engine, WarmUp},
-        dispatcher::Effect,
+        event::Effect,
         ids::{MonotonicTime, RunId, Tier, UpstreamId},
         limits::{DEFAULT_CACHE_TOKENS, MAX_SKIPPED_REQUESTS, UNORDERED_VERSION_HOLD},
         messages::{BackOff, RefusalReason, SlotRequest},
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -3,7 +3,7 @@
 use {
     super::{ServicePool, candidates::FreeUpstreams},
     crate::{
-        dispatcher::Effect,
+        event::Effect,
         ids::MonotonicTime,
         limits::{
             CLEARLY_FASTER_RATIO, IDLE_RUN_COST_SHARE, PLENTIFUL_SLOTS_SHARE, RUN_COST_SHARE,
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -3,7 +3,7 @@
 use {
     super::ServicePool,
     crate::{
-        dispatcher::Effect,
+        event::Effect,
         ids::{MonotonicTime, RunId, Tier},
         limits::{
             FIRST_EVENT_BASE_MS, LOWER_TIER_GRANT_MEMORY, MAX_RETRY_AFTER, RUN_SWEEP_INTERVAL,
