--- a/tests/engine_faults.rs
+++ b/tests/engine_faults.rs
@@ -7,19 +7,24 @@
 mod support;
 
 use {
-    dragonflystep::fakes::caller::{CallerReport, RequestOutcome, TrafficSettings},
+    dragonflystep::fakes::{
+        caller::{CallerReport, RequestOutcome, TrafficSettings},
+        engine::{DispatchOutcome, EngineRecords},
+    },
     futures::future::join_all,
     reqwest::Client,
     serde_json::{Value, json},
     std::time::{Duration, Instant},
     support::{
         CONDITION_TIMEOUT, Site, SiteSettings, incomplete, prompt_request, records_of,
-        send_request, traffic,
+        send_request, traffic, wait_for,
     },
     tokio::time::sleep,
 };
 
 const FAULT_AFTER: Duration = Duration::from_secs(2);
+/// Requests that run at the engine when the fault begins. With one, it might end just before.
+const MIN_RUNNING: usize = 2;
 /// Longest total time of a failed stream: the time without progress after which it counts as stalled, and some time for
 /// the answer to its caller.
 const STALLED_WITHIN_MS: u64 = 9_000;
@@ -36,7 +41,13 @@
     let caller = site.caller(completions(seed));
     let running = tokio::spawn(async move { caller.run().await });
     sleep(FAULT_AFTER).await;
-    site.engines[0].control.command("/faults", fault).await;
+    let engine = &site.engines[0].control;
+    wait_for("the engine runs requests", CONDITION_TIMEOUT, || async {
+        let records: EngineRecords = engine.records().await;
+        (records.count(DispatchOutcome::Open) >= MIN_RUNNING).then_some(())
+    })
+    .await;
+    engine.command("/faults", fault).await;
     running.await.expect("the caller does not panic")
 }
 
