--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -177,7 +177,7 @@
     Withheld,
     /// The connection broke after the request was sent.
     Broken,
-    /// The caller left or the request timed out; says nothing about the upstream.
+    /// The caller left, the request timed out or the path to the upstream broke; says nothing about the upstream.
     Cancelled,
 }
 
--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -11,7 +11,7 @@
         },
         list_fetch::fetch_if_newer,
         node::Node,
-        upstream_path_checks::check_silent_upstreams,
+        upstream_path_checks::{check_silent_upstreams, probe_blocked_upstreams},
     },
     dragonflystep_dispatch::NodeName,
     dragonflystep_peer::{Digest, PeerLink},
@@ -37,7 +37,7 @@
 }
 
 /// Updates at intervals how many nodes are visible, detects pauses of this process and checks the paths to upstreams that have
-/// fallen silent, for as long as the node runs.
+/// fallen silent or are out of reach, for as long as the node runs.
 pub(crate) async fn watch_visibility(node: Rc<Node>) {
     loop {
         let checked_at = node.owner.now();
@@ -50,6 +50,7 @@
         }
         node.update_visibility();
         check_silent_upstreams(&node);
+        probe_blocked_upstreams(&node);
     }
 }
 
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -242,9 +242,16 @@
                 slot.end(RunOutcome::Withheld, RunStats::default());
                 return DispatchOutcome::NotRun(NO_PATH);
             }
-            Ok(Err(SendError::Broken(error))) => {
+            Ok(Err(SendError::Broken { error, forwarder })) => {
                 log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, error:%; "upstream broke off");
-                slot.end(RunOutcome::Broken, RunStats::default());
+                // A break of the path says nothing about the upstream, nor about the request.
+                let is_break_of_path = self.node.is_break_of_path(&address, forwarder.as_ref());
+                let outcome = if is_break_of_path.await {
+                    RunOutcome::Cancelled
+                } else {
+                    RunOutcome::Broken
+                };
+                slot.end(outcome, RunStats::default());
                 return DispatchOutcome::Unknown("upstream_broke_off");
             }
             Err(_) => {
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -241,9 +241,21 @@
 /// within 2 s that it is cut off.
 pub(crate) const PATH_CHECK_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Timeout for checking a path after a connection broke, for which the report on the run waits. Many round trips within a
+/// region.
+pub(crate) const BREAK_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Interval at which a node that reaches upstreams only through others tries a direct connection.
 pub(crate) const DIRECT_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Number of other upstreams that are checked after a connection broke, if nobody can tell why. One of them may have
+/// stopped too.
+pub(crate) const OTHERS_CHECKED: usize = 2;
+
+/// Number of upstreams to which direct connections are tried at each [`VISIBILITY_CHECK_INTERVAL`], whether or not
+/// requests need them.
+pub(crate) const MAX_PROBES_AT_ONCE: usize = 2;
+
 /// How long an answer over a direct connection proves that a node reaches upstreams.
 pub(crate) const PATH_PROOF_TIME: Duration = Duration::from_secs(2);
 
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -44,6 +44,7 @@
         rc::Rc,
         time::Duration,
     },
+    tokio::sync::Mutex,
 };
 
 /// Why a node can't start or go on.
@@ -75,6 +76,8 @@
     pub(crate) network: Rc<dyn Network>,
     pub(crate) connections: UpstreamConnections,
     pub(crate) upstream_paths: RefCell<UpstreamPaths>,
+    /// Held while the reason of a broken connection is found out.
+    pub(crate) break_check: Mutex<()>,
     /// Number of tunnels that this node serves for others.
     pub(crate) open_tunnels: RefCell<OpenTunnels>,
     pub(crate) upstream_health: UpstreamHealth,
@@ -130,6 +133,7 @@
             ),
             connections: UpstreamConnections::default(),
             upstream_paths: RefCell::default(),
+            break_check: Mutex::default(),
             open_tunnels: RefCell::default(),
             upstream_health: UpstreamHealth::default(),
             metrics: Metrics::default(),
--- a/crates/dragonflystep_edge/src/tunnels.rs
+++ b/crates/dragonflystep_edge/src/tunnels.rs
@@ -39,6 +39,10 @@
     if let Err(error) = result {
         log::debug!(opener:%, address, error:%; "a tunnel broke");
     }
+    if open_tunnel.is_unanswered() {
+        // This node may be cut off itself; it notices that by the check.
+        node.is_break_of_path(&address, None).await;
+    }
 }
 
 async fn connect(
@@ -153,6 +157,12 @@
         }
     }
 
+    /// Whether the upstream was sent something and has never sent anything.
+    fn is_unanswered(&self) -> bool {
+        let (end, _) = self.state.last_piece.get();
+        end == TunnelEnd::Node && self.unproved_since.get().is_some()
+    }
+
     fn is_idle(&self) -> bool {
         let (end, at) = self.state.last_piece.get();
         let elapsed = self.node.owner.now().saturating_sub(at);
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -29,8 +29,12 @@
     #[error("the request was not sent: no node is known that reaches upstreams")]
     NoPath,
     /// The connection broke after the request, or a part of it, was sent; it may run.
-    #[error("connection broke: {0}")]
-    Broken(hyper::Error),
+    #[error("connection broke: {error}")]
+    Broken {
+        error: hyper::Error,
+        /// The node through which the connection went; none if it was direct.
+        forwarder: Option<Forwarder>,
+    },
 }
 
 impl From<DialError> for SendError {
@@ -42,6 +46,15 @@
     }
 }
 
+impl From<TrySendError> for SendError {
+    fn from(error: TrySendError) -> Self {
+        match error {
+            TrySendError::Unsent(_) => Self::NotSent(io::ErrorKind::ConnectionReset.into()),
+            TrySendError::Broken { error, forwarder } => Self::Broken { error, forwarder },
+        }
+    }
+}
+
 /// A connection in use by a request.
 pub(crate) struct OpenConnection {
     address: String,
@@ -166,11 +179,24 @@
             match self.try_send(connection, request).await {
                 Ok(answered) => return Ok(answered),
                 Err(TrySendError::Unsent(unsent)) => request = *unsent,
-                Err(TrySendError::Broken(error)) => return Err(SendError::Broken(error)),
+                Err(error) => return Err(error.into()),
             }
         }
         let dialed = dial(self, address, allowed).await?;
-        self.send_on_new(address, dialed, request).await
+        let forwarder = dialed.forwarder.clone();
+        match self.send_on_new(address, dialed, request).await {
+            // A connection that is reset as soon as it is open says no more about the upstream than a failed one.
+            Err(TrySendError::Unsent(unsent))
+                if self.is_break_of_path(address, forwarder.as_ref()).await =>
+            {
+                let dialed = dial(self, address, allowed).await?;
+                match self.send_on_new(address, dialed, *unsent).await {
+                    Err(TrySendError::Unsent(_)) => Err(SendError::NoPath),
+                    result => Ok(result?),
+                }
+            }
+            result => Ok(result?),
+        }
     }
 
     /// Sends a request on a new connection.
@@ -179,16 +205,13 @@
         address: &str,
         dialed: Dialed,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, OpenConnection), SendError> {
-        let connection = open_http(address, dialed)
-            .await
-            .map_err(SendError::NotSent)?;
-        match self.try_send(connection, request).await {
-            Ok(answered) => Ok(answered),
-            Err(TrySendError::Unsent(_)) => {
-                Err(SendError::NotSent(io::ErrorKind::ConnectionReset.into()))
+    ) -> Result<(Response<Incoming>, OpenConnection), TrySendError> {
+        match open_http(address, dialed).await {
+            Ok(connection) => self.try_send(connection, request).await,
+            Err(error) => {
+                log::debug!(address, error:%; "a new connection to an upstream broke");
+                Err(TrySendError::Unsent(Box::new(request)))
             }
-            Err(TrySendError::Broken(error)) => Err(SendError::Broken(error)),
         }
     }
 
@@ -219,18 +242,24 @@
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(unsent) => TrySendError::Unsent(Box::new(unsent)),
-                None => TrySendError::Broken(error.into_error()),
+                None => TrySendError::Broken {
+                    error: error.into_error(),
+                    forwarder: connection.forwarder,
+                },
             }),
         }
     }
 }
 
 /// Why a request could not be sent on a connection.
-enum TrySendError {
+pub(crate) enum TrySendError {
     /// Nothing was sent; the request is returned for another connection.
     Unsent(Box<Request<Full<Bytes>>>),
     /// The connection broke after the request, or a part of it, was sent.
-    Broken(hyper::Error),
+    Broken {
+        error: hyper::Error,
+        forwarder: Option<Forwarder>,
+    },
 }
 
 /// Sets up HTTP over a new connection.
--- a/crates/dragonflystep_edge/src/upstream_dialer.rs
+++ b/crates/dragonflystep_edge/src/upstream_dialer.rs
@@ -250,10 +250,15 @@
             return;
         };
         let cut_off_since = paths.record_connected(now, address, opened_at);
+        if let Some(since) = cut_off_since {
+            let registry = self.views.registry();
+            let upstreams = registry.upstreams.iter();
+            paths.record_doubtful(now, since, upstreams.map(|it| it.address.as_str()));
+        }
         drop(paths);
         if let Some(since) = cut_off_since {
             self.connections.close_idle_tunnels();
-            log::info!(cut_off_for_ms = now.saturating_sub(since).as_millis() as u64; "this node reaches upstreams directly again");
+            log::info!(address, cut_off_for_ms = now.saturating_sub(since).as_millis() as u64; "this node reaches upstreams directly again");
         }
     }
 
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -159,7 +159,8 @@
         let sent_at = Instant::now();
         let answered = node
             .send_on_new(&self.address, dialed, self.request()?)
-            .await?;
+            .await
+            .map_err(SendError::from)?;
         self.finish(node, sent_at, answered).await
     }
 
--- a/crates/dragonflystep_edge/src/upstream_path_checks.rs
+++ b/crates/dragonflystep_edge/src/upstream_path_checks.rs
@@ -6,16 +6,18 @@
 use {
     crate::{
         limits::{
-            DIRECT_PROBE_INTERVAL, MAX_FORWARDERS_TRIED, PATH_CHECK_TIMEOUT, TUNNEL_CHECK_DELAY,
-            TUNNEL_CHECK_INTERVAL, TUNNEL_CHECK_TIMEOUT,
+            BREAK_CHECK_TIMEOUT, DIRECT_PROBE_INTERVAL, MAX_FORWARDERS_TRIED, OTHERS_CHECKED,
+            PATH_CHECK_TIMEOUT, TUNNEL_CHECK_DELAY, TUNNEL_CHECK_INTERVAL, TUNNEL_CHECK_TIMEOUT,
         },
         node::Node,
         upstream_connections::SendError,
         upstream_dialer::{Forwarder, dial, open_tunnel_through},
         upstream_health::{HealthCheck, HealthError},
     },
+    dragonflystep_peer::{TunnelError, TunnelRefusal},
     futures::{StreamExt, stream::FuturesUnordered},
-    std::rc::Rc,
+    rand::seq::IteratorRandom,
+    std::{pin::pin, rc::Rc, time::Duration},
     tokio::{
         task::spawn_local,
         time::{sleep, timeout},
@@ -39,6 +41,17 @@
     }
 }
 
+/// Tries direct connections to some upstreams that are reached only through other nodes.
+pub(crate) fn probe_blocked_upstreams(node: &Rc<Node>) {
+    let due = node
+        .upstream_paths
+        .borrow_mut()
+        .take_due_probes(node.owner.now());
+    for address in due {
+        spawn_local(probe(node.clone(), address));
+    }
+}
+
 /// Checks the paths to upstreams at which requests wait while all upstreams are silent, to notice whether this node is
 /// cut off from them.
 pub(crate) fn check_silent_upstreams(node: &Rc<Node>) {
@@ -64,40 +77,141 @@
     log::info!(upstreams:? = silent; "no upstream has sent anything for a while; checking the paths to some");
     let upstreams = registry.upstreams.iter();
     for upstream in upstreams.filter(|upstream| silent.contains(&upstream.id)) {
-        spawn_local(check_path(node.clone(), upstream.address.clone()));
+        spawn_local(check_silent_upstream(
+            node.clone(),
+            upstream.address.clone(),
+        ));
     }
 }
 
-/// Records whether the upstream at an address answers directly, or only through another node.
-async fn check_path(node: Rc<Node>, address: String) {
-    let Some(check) = HealthCheck::of_address(&node, &address) else {
-        dial_and_keep(&node, &address).await;
-        return;
-    };
-    let direct = check_directly(&node, &address, Some(&check));
-    let tunnels = async {
-        sleep(TUNNEL_CHECK_DELAY).await;
-        is_answered_by_tunnel(&node, &address, &check).await
-    };
-    let is_blocked = async {
-        tokio::select! {
-            biased;
-            Ok(()) = direct => false,
-            is_answered = tunnels => is_answered,
+async fn check_silent_upstream(node: Rc<Node>, address: String) {
+    match HealthCheck::of_address(&node, &address) {
+        Some(check) => {
+            check_path(&node, &address, &check, PATH_CHECK_TIMEOUT).await;
+        }
+        None => dial_and_keep(&node, &address).await,
+    }
+}
+
+/// What the check of the path to an upstream shows.
+enum PathVerdict {
+    /// The upstream answers this node.
+    Direct,
+    /// The upstream answers only through another node.
+    Blocked,
+    /// A node that reaches others does not reach the upstream either.
+    Unreachable,
+    /// Nobody got an answer in time.
+    Unknown,
+}
+
+impl Node {
+    /// Whether a connection to an upstream that broke without an answer says nothing about the upstream: the path of this
+    /// node or of the forwarder is broken, or this node reaches no other upstream either.
+    pub(crate) async fn is_break_of_path(
+        &self,
+        address: &str,
+        forwarder: Option<&Forwarder>,
+    ) -> bool {
+        // Many connections may break at once; what the first check shows goes for the others.
+        let _guard = self.break_check.lock().await;
+        if let Some(forwarder) = forwarder {
+            return self.is_break_of_forwarder(address, forwarder).await;
+        }
+        let now = self.owner.now();
+        if self.upstream_paths.borrow().is_blocked(address) {
+            return true;
+        }
+        let check = HealthCheck::of_address(self, address);
+        let check = check.filter(|_| self.upstream_paths.borrow_mut().take_fallback_permit(now));
+        let Some(check) = check else {
+            return !self.upstream_paths.borrow().reaches_others(now, address);
+        };
+        match check_path(self, address, &check, BREAK_CHECK_TIMEOUT).await {
+            PathVerdict::Blocked => true,
+            PathVerdict::Direct | PathVerdict::Unreachable => false,
+            PathVerdict::Unknown => {
+                let reaches_another = self.is_answered_by_another(address).await;
+                if !reaches_another {
+                    self.upstream_paths.borrow_mut().record_no_answer();
+                }
+                !reaches_another
+            }
+        }
+    }
+
+    /// Whether a tunnel broke for another reason than the upstream: no other node that reaches others confirms that this
+    /// upstream can't be reached.
+    async fn is_break_of_forwarder(&self, address: &str, forwarder: &Forwarder) -> bool {
+        self.avoid_forwarder(&forwarder.node);
+        let Some(check) = HealthCheck::of_address(self, address) else {
+            return false;
+        };
+        let checking = check_by_tunnels(self, address, &check);
+        let verdict = timeout(BREAK_CHECK_TIMEOUT, checking).await;
+        !matches!(verdict, Ok(PathVerdict::Unreachable))
+    }
+
+    /// Whether one of a few upstreams other than the one at `excluded` answers a direct health check.
+    async fn is_answered_by_another(&self, excluded: &str) -> bool {
+        let registry = self.views.registry();
+        let others = registry.upstreams.iter();
+        let others = others
+            .filter(|upstream| upstream.address != excluded)
+            .choose_multiple(&mut *self.random.borrow_mut(), OTHERS_CHECKED);
+        let mut checks: FuturesUnordered<_> = others
+            .into_iter()
+            .map(|upstream| async {
+                let check = HealthCheck::of_address(self, &upstream.address)?;
+                let checking = check_directly(self, &upstream.address, Some(&check));
+                timeout(BREAK_CHECK_TIMEOUT, checking).await.ok()?.ok()
+            })
+            .collect();
+        while let Some(answer) = checks.next().await {
+            if answer.is_some() {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// Checks whether the upstream at an address answers directly or through other nodes; records it if its path is blocked.
+async fn check_path(
+    node: &Node,
+    address: &str,
+    check: &HealthCheck,
+    limit: Duration,
+) -> PathVerdict {
+    let mut direct = pin!(check_directly(node, address, Some(check)));
+    let checking = async {
+        match timeout(TUNNEL_CHECK_DELAY, &mut direct).await {
+            Ok(Ok(())) => PathVerdict::Direct,
+            Ok(Err(_)) => check_by_tunnels(node, address, check).await,
+            Err(_) => {
+                tokio::select! {
+                    biased;
+                    Ok(()) = &mut direct => PathVerdict::Direct,
+                    verdict = check_by_tunnels(node, address, check) => verdict,
+                }
+            }
         }
     };
-    match timeout(PATH_CHECK_TIMEOUT, is_blocked).await {
-        Ok(true) => node.record_blocked(&address),
-        Ok(false) => {}
-        Err(_) => {
-            log::debug!(address; "an upstream answers neither directly nor through another node")
+    let verdict = timeout(limit, checking).await;
+    let verdict = verdict.unwrap_or(PathVerdict::Unknown);
+    match verdict {
+        PathVerdict::Blocked => node.record_blocked(address),
+        PathVerdict::Unknown => {
+            log::debug!(address; "an upstream answers neither directly nor through another node in time");
         }
+        PathVerdict::Direct | PathVerdict::Unreachable => {}
     }
+    verdict
 }
 
-/// Whether a health check is answered through another node. A few nodes are tried one soon after the other, as some may be
-/// cut off themselves without having noticed.
-async fn is_answered_by_tunnel(node: &Node, address: &str, check: &HealthCheck) -> bool {
+/// Sends health checks through a few nodes, one soon after the other, as some may be cut off themselves without having
+/// noticed. The first that shows anything decides.
+async fn check_by_tunnels(node: &Node, address: &str, check: &HealthCheck) -> PathVerdict {
     let forwarders = node.forwarders(MAX_FORWARDERS_TRIED, None).into_iter();
     let mut attempts: FuturesUnordered<_> = (0..)
         .zip(forwarders)
@@ -106,12 +220,12 @@
             check_through(node, forwarder, address, check).await
         })
         .collect();
-    while let Some(is_answered) = attempts.next().await {
-        if is_answered {
-            return true;
+    while let Some(verdict) = attempts.next().await {
+        if !matches!(verdict, PathVerdict::Unknown) {
+            return verdict;
         }
     }
-    false
+    PathVerdict::Unknown
 }
 
 /// Sends a health check through a forwarder, which is left out for a while if there is no answer.
@@ -120,22 +234,29 @@
     forwarder: Forwarder,
     address: &str,
     check: &HealthCheck,
-) -> bool {
+) -> PathVerdict {
     let now = node.owner.now();
     if !node.upstream_paths.borrow_mut().take_fallback_permit(now) {
-        return false;
+        return PathVerdict::Unknown;
     }
     let name = forwarder.node.clone();
-    let answer = async {
-        let dialed = open_tunnel_through(node, forwarder, address).await.ok()?;
-        check.send_on_new(node, dialed).await.ok()
+    let checking = async {
+        match open_tunnel_through(node, forwarder, address).await {
+            Ok(dialed) => match check.send_on_new(node, dialed).await {
+                Ok(_) => PathVerdict::Blocked,
+                Err(_) => PathVerdict::Unknown,
+            },
+            Err(TunnelError::Refused(TunnelRefusal::Unreachable)) => PathVerdict::Unreachable,
+            Err(_) => PathVerdict::Unknown,
+        }
     };
-    if let Ok(answer) = timeout(TUNNEL_CHECK_TIMEOUT, answer).await {
-        return answer.is_some();
+    let verdict = timeout(TUNNEL_CHECK_TIMEOUT, checking).await;
+    let verdict = verdict.unwrap_or(PathVerdict::Unknown);
+    if matches!(verdict, PathVerdict::Unknown) {
+        log::info!(forwarder:% = name, address; "a health check through another node was not answered");
+        node.avoid_forwarder(&name);
     }
-    log::info!(forwarder:% = name, address; "a health check through another node was not answered");
-    node.avoid_forwarder(&name);
-    false
+    verdict
 }
 
 /// Opens a direct connection and sends a health check on it. If there is none, the connection alone has to do.
--- a/crates/dragonflystep_edge/src/upstream_paths.rs
+++ b/crates/dragonflystep_edge/src/upstream_paths.rs
@@ -9,7 +9,8 @@
 use {
     crate::limits::{
         BLOCKED_PATHS_WHEN_CUT_OFF, DIRECT_PROBE_INTERVAL, FALLBACK_TUNNEL_BURST,
-        FALLBACK_TUNNELS_PER_S, FORWARDER_AVOIDANCE, PATH_PROOF_TIME, UPSTREAM_SILENCE,
+        FALLBACK_TUNNELS_PER_S, FORWARDER_AVOIDANCE, MAX_PROBES_AT_ONCE, PATH_PROOF_TIME,
+        UPSTREAM_SILENCE,
     },
     dragonflystep_dispatch::{MonotonicTime, NodeName, UpstreamId},
     std::{
@@ -33,14 +34,18 @@
 /// What a node knows about its connections to upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPaths {
-    /// Addresses of upstreams that other nodes reach and this one does not.
+    /// Addresses of upstreams that other nodes reach and this one does not, or not with certainty after it was cut off.
     blocked: HashMap<String, BlockedPath>,
     /// When the latest direct connection that has carried an answer was opened.
     connected_at: Option<MonotonicTime>,
     /// When each upstream last answered over a direct connection, by its address.
     answered_at: HashMap<String, MonotonicTime>,
+    /// When the latest direct connection to each upstream that has carried an answer was opened.
+    proved_at: HashMap<String, MonotonicTime>,
     /// When any upstream last sent anything over a direct connection.
     heard_at: MonotonicTime,
+    /// Whether neither an upstream whose connection broke nor others answered, and none has since.
+    is_unanswered: bool,
     cut_off_since: Option<MonotonicTime>,
     /// When a direct connection is tried next while the node is cut off, and when silent upstreams are checked next.
     next_probe_at: MonotonicTime,
@@ -118,17 +123,59 @@
     ) -> Option<MonotonicTime> {
         self.connected_at = self.connected_at.max(Some(opened_at));
         self.record_answer(now, address);
+        self.proved_at.insert(address.to_owned(), opened_at);
         self.blocked
             .retain(|blocked, path| blocked != address || path.since > opened_at);
-        let since = self.cut_off_since.take_if(|since| *since <= opened_at)?;
-        self.blocked.clear();
-        Some(since)
+        self.cut_off_since.take_if(|since| *since <= opened_at)
+    }
+
+    /// Records after a cut, which began at `since`, upstreams that may still be out of reach. They are reached through
+    /// other nodes until a direct connection to each has carried an answer.
+    pub(crate) fn record_doubtful<'a>(
+        &mut self,
+        now: MonotonicTime,
+        since: MonotonicTime,
+        addresses: impl Iterator<Item = &'a str>,
+    ) {
+        for address in addresses {
+            let is_proved = self.proved_at.get(address).is_some_and(|at| *at >= since);
+            if is_proved || self.blocked.contains_key(address) {
+                continue;
+            }
+            let path = BlockedPath {
+                since,
+                next_probe_at: now,
+            };
+            self.blocked.insert(address.to_owned(), path);
+        }
+    }
+
+    /// Chooses blocked upstreams to which a direct connection is to be tried, whether or not requests need one.
+    pub(crate) fn take_due_probes(&mut self, now: MonotonicTime) -> Vec<String> {
+        if self.is_cut_off() {
+            if now < self.next_probe_at {
+                return Vec::new();
+            }
+            self.next_probe_at = now + DIRECT_PROBE_INTERVAL;
+        }
+        let mut due: Vec<_> = self.blocked.iter_mut().collect();
+        due.retain(|(_, path)| path.next_probe_at <= now);
+        due.sort_by(|(address, path), (other, other_path)| {
+            (path.next_probe_at, *address).cmp(&(other_path.next_probe_at, *other))
+        });
+        due.truncate(MAX_PROBES_AT_ONCE);
+        let probed = due.into_iter().map(|(address, path)| {
+            path.next_probe_at = now + DIRECT_PROBE_INTERVAL;
+            address.clone()
+        });
+        probed.collect()
     }
 
     /// Records that an upstream answered over a direct connection. While only open connections live on, answers go on
     /// although the node is cut off.
     pub(crate) fn record_answer(&mut self, now: MonotonicTime, address: &str) {
         self.heard_at = now;
+        self.is_unanswered = false;
         match self.answered_at.get_mut(address) {
             Some(at) => *at = now,
             None => {
@@ -137,6 +184,11 @@
         }
     }
 
+    /// Records that neither an upstream whose connection broke nor others answer.
+    pub(crate) fn record_no_answer(&mut self) {
+        self.is_unanswered = true;
+    }
+
     /// Records that an upstream sent a part of an answer over a direct connection.
     pub(crate) fn record_heard(&mut self, now: MonotonicTime) {
         self.heard_at = now;
@@ -167,7 +219,12 @@
         self.cut_off_since.is_some()
     }
 
-    /// Number of upstreams that other nodes reach and this one does not, as far as it tried.
+    /// Whether other nodes reach the upstream at an address and this one does not, as far as it knows.
+    pub(crate) fn is_blocked(&self, address: &str) -> bool {
+        self.is_cut_off() || self.blocked.contains_key(address)
+    }
+
+    /// Number of upstreams that other nodes reach and this one does not, or not with certainty.
     pub(crate) fn blocked_count(&self) -> usize {
         self.blocked.len()
     }
@@ -177,7 +234,9 @@
     pub(crate) fn reaches_others(&self, now: MonotonicTime, address: &str) -> bool {
         let is_recent = |at: MonotonicTime| now.saturating_sub(at) <= PATH_PROOF_TIME;
         let mut answers = self.answered_at.iter();
-        !self.is_cut_off() && answers.any(|(other, at)| other != address && is_recent(*at))
+        !self.is_cut_off()
+            && !self.is_unanswered
+            && answers.any(|(other, at)| other != address && is_recent(*at))
     }
 
     /// Whether a tunnel may be opened because a direct connection fails or takes long.
@@ -226,5 +285,6 @@
     pub(crate) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.blocked.retain(|address, _| is_known(address));
         self.answered_at.retain(|address, _| is_known(address));
+        self.proved_at.retain(|address, _| is_known(address));
     }
 }
