--- a/crates/dragonflystep_edge/src/upstream_path_checks.rs
+++ b/crates/dragonflystep_edge/src/upstream_path_checks.rs
@@ -141,8 +141,12 @@
     }
 
     /// Whether a tunnel broke for another reason than the upstream: no other node that reaches others confirms that this
-    /// upstream can't be reached.
+    /// upstream can't be reached, or another tunnel through the same forwarder broke just before.
     async fn is_break_of_forwarder(&self, address: &str, forwarder: &Forwarder) -> bool {
+        let now = self.owner.now();
+        if self.upstream_paths.borrow().is_avoided(now, &forwarder.node) {
+            return true;
+        }
         self.avoid_forwarder(&forwarder.node);
         let Some(check) = HealthCheck::of_address(self, address) else {
             return false;
