--- a/crates/dragonflystep_edge/src/upstream_path_checks.rs
+++ b/crates/dragonflystep_edge/src/upstream_path_checks.rs
@@ -144,7 +144,11 @@
     /// upstream can't be reached, or another tunnel through the same forwarder broke just before.
     async fn is_break_of_forwarder(&self, address: &str, forwarder: &Forwarder) -> bool {
         let now = self.owner.now();
-        if self.upstream_paths.borrow().is_avoided(now, &forwarder.node) {
+        if self
+            .upstream_paths
+            .borrow()
+            .is_avoided(now, &forwarder.node)
+        {
             return true;
         }
         self.avoid_forwarder(&forwarder.node);
