--- a/tests/free_addresses.rs
+++ b/tests/free_addresses.rs
@@ -4,7 +4,7 @@
 
 use {std::collections::HashSet, support::loopback_address};
 
-/// With ports that the kernel picks at random among some 7,000, a repetition among so many is certain.
+/// So many that ports which the kernel picks at random would repeat.
 const ADDRESSES: usize = 2_000;
 
 #[test]
