Log how an answer was framed and what was left over when a stream ended

A line per stream that ends with its connection or with left-over bytes now does, a break names the framing too, and answer_bodies_total counts answers by framing. No decision has changed.

--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempts;
+mod body_framing;
 mod burn;
 mod catalogue_list;
 mod connection_io;
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -8,6 +8,7 @@
     crate::{
         answer::{AnswerBody, IncompleteAnswer, end_to_end_headers},
         attempts::Attempts,
+        body_framing::BodyFraming,
         burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
         dialect::AnswerFacts,
         event_stream::{EventSplitter, StreamEvent},
@@ -39,6 +40,10 @@
     facts: &AnswerFacts,
 ) -> DispatchOutcome {
     let (head, body) = response.into_parts();
+    let framing = BodyFraming::of(&head.headers);
+    job.node
+        .metrics
+        .count("answer_bodies_total", framing.name());
     let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
     let reading = async {
         let body = Limited::new(body, MAX_PLAIN_ANSWER_BYTES).collect().await?;
@@ -47,7 +52,7 @@
     let body = match timeout(time_limit, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
-            log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, error:%; "an answer was cut");
+            log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, framing = framing.name(), error:%; "an answer was cut");
             slot.end(RunOutcome::Broken, RunStats::default());
             return DispatchOutcome::Unknown("answer_cut");
         }
@@ -153,6 +158,10 @@
     /// Relays the events of this upstream until its stream ends or breaks off, the caller disconnects or the deadline
     /// has passed.
     async fn forward_events(self, job: &Job, caller: &mut CallerStream) -> RelayEnd {
+        let framing = BodyFraming::of(self.response.headers());
+        job.node
+            .metrics
+            .count("answer_bodies_total", framing.name());
         let mut body = self.response.into_body();
         let mut splitter = EventSplitter::default();
         let mut stats = RunStats::default();
@@ -207,12 +216,15 @@
                     }
                 }
                 Some(Err(error)) => {
-                    log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, events = stats.events, error:%; "a stream broke off");
+                    log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, framing = framing.name(), events = stats.events, error:%; "a stream broke off");
                     self.slot.end(RunOutcome::Broken, stats);
                     return RelayEnd::Broken;
                 }
                 None => {
                     let remainder = splitter.take_remainder();
+                    if framing == BodyFraming::Connection || !remainder.bytes.is_empty() {
+                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, framing = framing.name(), events = stats.events, left_over_bytes = remainder.bytes.len(); "the body of a stream ended");
+                    }
                     let held_bytes = &job.node.held_bytes;
                     if !remainder.bytes.is_empty()
                         && caller.forward(held_bytes, remainder).await.is_err()
