Take a stream that ends inside an event for broken off

Cause: an answer without a length and without chunks ends with its connection, and a crash that closes the connection in an orderly way ends it regularly. The relay took each regular end of a body for the end of the stream, sent what it held of an event and added a last chunk of its own. The class: the relay stated more than it was told.

Ruled out: a break that is lost in the pool or in a tunnel (tests of resets pass before and after); that only answers without framing are affected (the same stream with a last chunk inside an event failed too).

Now a body that ends inside an event, or one without framing that holds no event at all, is broken off: the run counts as broken, the stream continues at another upstream if it may, and the caller's connection is closed without a last chunk otherwise. Empty lines and comments after the last event belong to no event.

Before: four of seven tests of unframed_answers failed. After: none; traps and whole_path pass as before.

--- a/crates/dragonflystep_edge/src/event_stream.rs
+++ b/crates/dragonflystep_edge/src/event_stream.rs
@@ -5,13 +5,15 @@
 /// Longest event that is buffered as a whole, in bytes; a longer one is passed on in several chunks.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
-/// A whole event, or a chunk of one that is too long or incomplete.
+/// A whole event, or a chunk of one that is too long.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct StreamEvent {
     /// The raw bytes, with the empty line that ends an event.
     pub(crate) bytes: Bytes,
-    /// The value of the first `id:` line; none without one, and for a chunk without the end of its event.
+    /// The value of the first `id:` line; none without one, and for a chunk that does not begin its event.
     pub(crate) id: Option<String>,
+    /// Whether the event ends with these bytes.
+    pub(crate) is_end: bool,
 }
 
 /// Buffers incoming bytes and splits them at the empty lines that end events.
@@ -20,6 +22,8 @@
     buffer: BytesMut,
     /// Bytes at the start of the buffer in which no event can end.
     scanned: usize,
+    /// Whether a chunk of the event at the start of the buffer was returned already.
+    is_split: bool,
 }
 
 impl EventSplitter {
@@ -30,26 +34,45 @@
 
     /// Removes and returns the next whole event, or the whole buffer if it exceeds the length limit; none until then.
     pub(crate) fn next_event(&mut self) -> Option<StreamEvent> {
-        let Some(end) = self.find_end() else {
+        let end = self.find_end();
+        if end.is_none() {
             self.scanned = self.buffer.len().saturating_sub(3);
             if self.buffer.len() <= MAX_EVENT_BYTES {
                 return None;
             }
-            return Some(self.take_remainder());
-        };
+        }
         self.scanned = 0;
-        let bytes = self.buffer.split_to(end).freeze();
-        let id = event_id(&bytes);
-        Some(StreamEvent { bytes, id })
+        let bytes = self
+            .buffer
+            .split_to(end.unwrap_or(self.buffer.len()))
+            .freeze();
+        let id = event_id(&bytes).filter(|_| !self.is_split);
+        self.is_split = end.is_none();
+        Some(StreamEvent {
+            bytes,
+            id,
+            is_end: end.is_some(),
+        })
+    }
+
+    /// Whether the bytes so far end in the middle of an event. Empty lines and comments belong to none.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        let has_field = |line: &[u8]| {
+            let text = line.trim_ascii_end();
+            let is_comment = text.starts_with(b":") && line.ends_with(b"\n");
+            !text.is_empty() && !is_comment
+        };
+        self.is_split
+            || self
+                .buffer
+                .split_inclusive(|byte| *byte == b'\n')
+                .any(has_field)
     }
 
-    /// Removes and returns what is buffered of an incomplete event.
-    pub(crate) fn take_remainder(&mut self) -> StreamEvent {
+    /// Removes and returns what is buffered after the last event.
+    pub(crate) fn take_remainder(&mut self) -> Bytes {
         self.scanned = 0;
-        StreamEvent {
-            bytes: self.buffer.split().freeze(),
-            id: None,
-        }
+        self.buffer.split().freeze()
     }
 
     /// The position after the first end of an event in the buffer.
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -18,6 +18,7 @@
         slots::{RunStats, Slot},
         upstream_connections::OpenConnection,
     },
+    bytes::Bytes,
     dragonflystep_dispatch::{RouteKind, RunOutcome},
     http::{Response, StatusCode},
     http_body_util::{BodyExt, Limited},
@@ -162,6 +163,7 @@
         job.node
             .metrics
             .count("answer_bodies_total", framing.name());
+        let held_bytes = &job.node.held_bytes;
         let mut body = self.response.into_body();
         let mut splitter = EventSplitter::default();
         let mut stats = RunStats::default();
@@ -189,7 +191,7 @@
                     };
                     splitter.push(&data);
                     while let Some(event) = splitter.next_event() {
-                        stats.events += 1;
+                        stats.events += u32::from(event.is_end);
                         let elapsed = self.slot.elapsed();
                         if stats.time_to_first_event.is_some() {
                             let pause = elapsed.saturating_sub(last_event_at);
@@ -205,7 +207,7 @@
                         }
                         // A caller that does not read holds memory for no longer than it may wait.
                         let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
-                        let forwarding = caller.forward(&job.node.held_bytes, event);
+                        let forwarding = caller.forward(held_bytes, event);
                         let end = match timeout(time_limit, forwarding).await {
                             Ok(Ok(())) => continue,
                             Ok(Err(IncompleteAnswer)) => RelayEnd::CallerDisconnected,
@@ -221,13 +223,17 @@
                     return RelayEnd::Broken;
                 }
                 None => {
+                    let is_inside_event = splitter.is_inside_event();
+                    // Only the connection says that an answer without events is complete.
+                    let is_without_events = framing == BodyFraming::Connection && stats.events == 0;
                     let remainder = splitter.take_remainder();
-                    if framing == BodyFraming::Connection || !remainder.bytes.is_empty() {
-                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, framing = framing.name(), events = stats.events, left_over_bytes = remainder.bytes.len(); "the body of a stream ended");
+                    if is_inside_event || is_without_events {
+                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, framing = framing.name(), events = stats.events, left_over_bytes = remainder.len(); "a stream ended before it was complete");
+                        self.slot.end(RunOutcome::Broken, stats);
+                        return RelayEnd::Broken;
                     }
-                    let held_bytes = &job.node.held_bytes;
-                    if !remainder.bytes.is_empty()
-                        && caller.forward(held_bytes, remainder).await.is_err()
+                    if !remainder.is_empty()
+                        && caller.forward_rest(held_bytes, remainder).await.is_err()
                     {
                         self.slot.end(RunOutcome::Cancelled, stats);
                         return RelayEnd::CallerDisconnected;
@@ -255,11 +261,20 @@
             }
             self.last_event_id = Some(id);
         }
+        self.forward_rest(held_bytes, event.bytes).await
+    }
+
+    /// Sends bytes to the caller that belong to the current event, or follow the last one.
+    async fn forward_rest(
+        &mut self,
+        held_bytes: &HeldBytes,
+        bytes: Bytes,
+    ) -> Result<(), IncompleteAnswer> {
         let is_next = self.chunks.capacity() == self.chunks.max_capacity();
         let chunk = if is_next {
-            held_bytes.hold_next(event.bytes).await
+            held_bytes.hold_next(bytes).await
         } else {
-            held_bytes.hold_queued(event.bytes).await
+            held_bytes.hold_queued(bytes).await
         };
         self.chunks
             .send(Ok(chunk))
