Do not continue a stream after a part of an event

Callers would see pieces of two runs joined: an event that is too long to be held as a whole is sent on in chunks, and if the stream then broke off, it was continued after the last event whose id was known, in the middle of the other one.

Now such a stream is not continued, and the id of a long event counts from its first chunk, so that the rest of an event which the caller has is left out as a whole.

--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -110,6 +110,10 @@
     chunks: mpsc::Sender<Result<HeldChunk, IncompleteAnswer>>,
     /// The id of the last event with an id that was sent to the caller.
     last_event_id: Option<String>,
+    /// Whether the caller has received only a part of the last event.
+    is_inside_event: bool,
+    /// Whether the rest of the current event is left out, because the caller already received the event.
+    skips_event: bool,
     /// Time from the arrival of the request to the first event of an upstream. Each further upstream that sends an
     /// event replaces it.
     first_event_after: Option<Duration>,
@@ -149,6 +153,8 @@
         let caller = CallerStream {
             chunks: sender,
             last_event_id: None,
+            is_inside_event: false,
+            skips_event: false,
             first_event_after: None,
             longest_pause: Duration::ZERO,
         };
@@ -256,11 +262,16 @@
         event: StreamEvent,
     ) -> Result<(), IncompleteAnswer> {
         if let Some(id) = event.id {
-            if self.has_received(&id) {
-                return Ok(());
+            self.skips_event = self.has_received(&id);
+            if !self.skips_event {
+                self.last_event_id = Some(id);
             }
-            self.last_event_id = Some(id);
         }
+        if self.skips_event {
+            self.skips_event = !event.is_end;
+            return Ok(());
+        }
+        self.is_inside_event = !event.is_end;
         self.forward_rest(held_bytes, event.bytes).await
     }
 
@@ -364,6 +375,9 @@
     else {
         return None;
     };
+    if caller.is_inside_event {
+        return None;
+    }
     while job.may_send_again(attempts) && !caller.chunks.is_closed() {
         let slot = tokio::select! {
             slot = attempts.request_slot(job) => slot.ok()?,
