Refuse streams to callers that know no chunks

Such a request now gets 505 before anything runs. Plain answers state their length and are served as before.

--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -14,8 +14,10 @@
         stop::{OpenRequest, StopSignal},
     },
     bytes::{Bytes, BytesMut},
-    dragonflystep_dispatch::{Account, DataCentreName, QuotaUnit, RouteMatch, RoutingError},
-    http::{Request, Response, StatusCode, request::Parts},
+    dragonflystep_dispatch::{
+        Account, DataCentreName, QuotaUnit, RouteKind, RouteMatch, RoutingError,
+    },
+    http::{Request, Response, StatusCode, Version, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
     std::rc::Rc,
@@ -79,6 +81,14 @@
             RoutingError::NoRoute => LocalReply::new(StatusCode::NOT_FOUND, "no_route"),
             RoutingError::UnknownKey => LocalReply::new(StatusCode::UNAUTHORIZED, "unknown_key"),
         })?;
+    let is_stream = matches!(resolved.route.kind, RouteKind::Stream { .. });
+    if is_stream && head.version < Version::HTTP_11 {
+        // Without chunks the caller could not tell a stream that broke off from a whole one.
+        return Err(LocalReply::new(
+            StatusCode::HTTP_VERSION_NOT_SUPPORTED,
+            "http_version",
+        ));
+    }
     let allowed_data_centres = allowed_data_centres(node, &resolved, &facts.request_id)?;
     let time_left = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived + time_left.min(resolved.route.timeout);
