Log what a caller resumes, and the version at which a stream goes on

Resumes is decoded; a line tells of each resume by a caller, and the lines of streams that end or go on name the software version of the upstream. No decision has changed.

--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -29,6 +29,8 @@
     pub max_output_tokens: Option<u32>,
     /// The id of the last event that the caller received of an interrupted stream, which this request is to continue.
     pub last_event_id: Option<String>,
+    /// The id of the request that brought the first event of that stream; none if the request does not name it.
+    pub resumes: Option<String>,
 }
 
 /// What a node tells an upstream about a request, in addition to the caller's own headers.
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -97,6 +97,11 @@
     pub(crate) async fn run(self: Rc<Self>) -> Response<AnswerBody> {
         let mut attempts = Attempts::default();
         let mut server_error = None;
+        if let Some(last_event_id) = &self.facts.last_event_id {
+            let resumes = self.facts.resumes.as_deref().unwrap_or("");
+            log::info!(request:% = self.facts.request_id, route:% = self.route.name, resumes, last_event_id:%; "a caller resumes a stream");
+            self.node.metrics.count("streams_resumed_total", "caller");
+        }
         let response = loop {
             let slot = match attempts.request_slot(&self).await {
                 Ok(slot) => slot,
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -31,7 +31,7 @@
     },
     dragonflystep_dispatch::{
         DataCentreName, Event, MonotonicTime, NodeIncarnation, NodeName, RegionName, RunId,
-        Upstream, UpstreamPhase, Visibility, run_id,
+        Upstream, UpstreamPhase, UpstreamVersion, Visibility, run_id,
     },
     dragonflystep_peer::Network,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -305,6 +305,13 @@
         })
     }
 
+    /// Version of an upstream's software, according to the registry in force; none if the upstream is not listed.
+    pub(crate) fn upstream_version(&self, id: &str) -> Option<UpstreamVersion> {
+        let upstreams = self.views.registry().upstreams;
+        let upstream = upstreams.iter().find(|upstream| &*upstream.id == id)?;
+        Some(upstream.version.clone())
+    }
+
     /// Applies changed settings. Addresses and names take effect only after a restart.
     pub fn reload(&self, settings: &NodeSettings) {
         self.owner
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -364,7 +364,9 @@
         LATE
     });
     let first_ms = caller.first_event_after.map_or(0, ms);
-    log::info!(request:% = job.facts.request_id, route:% = job.route.name, status = 200, upstream:% = attempts.last_upstream(), sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
+    let upstream = attempts.last_upstream();
+    let version = job.node.upstream_version(upstream).unwrap_or_default();
+    log::info!(request:% = job.facts.request_id, route:% = job.route.name, status = 200, upstream, version:%, sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
 }
 
 /// Continues a stream that broke off at another upstream, after the last event that arrived.
@@ -397,7 +399,9 @@
             attempts.uncount_sent();
         }
         if let DispatchOutcome::Streaming(relay) = outcome {
-            log::info!(request:% = job.facts.request_id, sent = attempts.sent; "stream continues at another upstream");
+            let upstream = attempts.last_upstream();
+            let version = job.node.upstream_version(upstream).unwrap_or_default();
+            log::info!(request:% = job.facts.request_id, sent = attempts.sent, upstream, version:%; "stream continues at another upstream");
             return Some(*relay);
         }
     }
