--- a/benches/benches/placing.rs
+++ b/benches/benches/placing.rs
@@ -84,6 +84,7 @@
         fingerprint: run,
         data_centre: "a".into(),
         allowed_data_centres: None,
+        stream: None,
     }
 }
 
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -5,9 +5,17 @@
         catalogue::Catalogue,
         crash_suspects::CrashSuspects,
         event::{Effect, Event, SharedLimits},
-        ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
-        limits::{OVERLAP_RATE_SHARE, OWNER_OVERLAP},
-        messages::{BackOff, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest},
+        ids::{
+            DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, StreamId,
+            UpstreamId, UpstreamVersion,
+        },
+        limits::{
+            OVERLAP_RATE_SHARE, OWNER_OVERLAP, STREAM_SWEEP_INTERVAL, UNKNOWN_STREAM_RETRY_AFTER,
+        },
+        messages::{
+            BackOff, Refusal, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest,
+            StreamProgress, StreamTry,
+        },
         notices::{UpstreamNotice, UpstreamNotices},
         ownership::partition_limit_share,
         pool::{PoolSummary, ServicePool},
@@ -15,6 +23,7 @@
         refusal::refuse,
         retry_budget::RetryLimits,
         rollout::{RolloutRules, RolloutStep},
+        stream_versions::{StreamVersion, StreamVersions},
         upstream::Upstream,
         warm_up::WarmUpRules,
     },
@@ -62,6 +71,14 @@
     rollout_steps: Vec<RolloutStep>,
     back_offs: Vec<BackOff>,
     notices: UpstreamNotices,
+    streams: StreamVersions,
+    /// When streams that can't be resumed any more were last dropped.
+    streams_swept_at: MonotonicTime,
+    /// Whether streams that may still be resumed may have begun at several software versions, so that other nodes need
+    /// copies of what this one knows of them.
+    shares_streams: bool,
+    /// Whether this node learns of changes of the registry.
+    is_registry_fresh: bool,
     /// Time until which another owner may be granting slots too; absent when no overlap is known.
     overlap_ends_at: Option<MonotonicTime>,
 }
@@ -82,6 +99,10 @@
             rollout_steps: Vec::new(),
             back_offs: Vec::new(),
             notices: UpstreamNotices::default(),
+            streams: StreamVersions::default(),
+            streams_swept_at: Duration::ZERO,
+            shares_streams: false,
+            is_registry_fresh: true,
             overlap_ends_at: None,
         }
     }
@@ -128,6 +149,9 @@
             Event::CatalogueChanged(catalogue) => self.set_catalogue(now, &catalogue),
             Event::UpstreamsChanged(upstreams) => {
                 self.set_upstreams(now, upstreams);
+                for pool in self.pools.values_mut() {
+                    pool.refuse_unservable(now, &mut effects);
+                }
                 self.place_all_waiting(now, &mut effects);
             }
             Event::EvacuationsChanged(evacuated) => {
@@ -150,6 +174,13 @@
                 self.quota_share = partition_limit_share(contacts.visible, contacts.known);
                 self.apply_rate_limit_share(now);
             }
+            Event::RegistryFreshnessChanged(is_fresh) => self.is_registry_fresh = is_fresh,
+            Event::StreamsReported(streams) => {
+                for stream in streams {
+                    self.streams.record_reported(now, stream);
+                }
+            }
+            Event::StreamBegan(stream) => self.streams.record_own(now, stream),
             Event::LoadObserved(load) => {
                 if let Some(pool) = self.pools.get_mut(&load.service) {
                     pool.record_load(now, &load);
@@ -186,12 +217,87 @@
                     pool.expire_waiting(now, &mut effects);
                 }
                 self.place_all_waiting(now, &mut effects);
+                self.sweep_streams(now);
             }
         }
         self.refund_refused_waiting();
+        self.record_granted_streams(now);
         effects
     }
 
+    /// Records the streams for which slots were granted.
+    fn record_granted_streams(&mut self, now: MonotonicTime) {
+        for pool in self.pools.values_mut() {
+            for stream in pool.take_granted_streams() {
+                self.streams.record_granted(now, stream);
+            }
+        }
+        if !self.shares_streams {
+            self.streams.clear_changed();
+        }
+    }
+
+    fn sweep_streams(&mut self, now: MonotonicTime) {
+        if now < self.streams_swept_at + STREAM_SWEEP_INTERVAL {
+            return;
+        }
+        self.streams_swept_at = now;
+        self.streams.expire(now);
+        self.update_stream_sharing(now);
+    }
+
+    fn update_stream_sharing(&mut self, now: MonotonicTime) {
+        let mut pools = self.pools.values();
+        let shares_streams = pools.any(|pool| pool.has_several_versions(now));
+        if shares_streams && !self.shares_streams {
+            // Nobody has copies of the streams that began before.
+            self.streams.mark_granted_changed();
+        }
+        self.shares_streams = shares_streams;
+    }
+
+    /// Returns the software version at which a stream began, if this node knows it.
+    pub fn stream_version(&self, now: MonotonicTime, stream: StreamId) -> Option<&UpstreamVersion> {
+        self.streams.version(now, stream)
+    }
+
+    /// Whether streams of a service that callers may still resume may have begun at several software versions.
+    pub fn has_several_versions(&self, now: MonotonicTime, service: &str) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.has_several_versions(now))
+    }
+
+    /// Whether streams of some service may have begun at several software versions, so that other nodes need copies of what
+    /// this one knows.
+    pub fn shares_streams(&self) -> bool {
+        self.shares_streams
+    }
+
+    /// Whether slots were granted to streams that [`take_granted_streams`](Self::take_granted_streams) has not returned yet.
+    pub fn has_granted_streams(&self) -> bool {
+        self.streams.has_changed()
+    }
+
+    /// Returns the streams for which slots were granted since the last call; none while each service has one version.
+    pub fn take_granted_streams(&mut self, now: MonotonicTime) -> Vec<StreamVersion> {
+        self.streams.take_changed(now)
+    }
+
+    /// Returns all streams that may still be resumed and whose software versions this node knows.
+    pub fn streams(&self, now: MonotonicTime) -> Vec<StreamVersion> {
+        self.streams.all(now)
+    }
+
+    /// Returns the streams among them whose requests this node received from their callers.
+    pub fn own_streams(&self, now: MonotonicTime) -> Vec<StreamVersion> {
+        self.streams.own(now)
+    }
+
+    /// Returns the number of streams whose software versions this node knows.
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
     /// Refunds the quota units of requests that were refused after waiting, since they did not run.
     fn refund_refused_waiting(&mut self) {
         for pool in self.pools.values_mut() {
@@ -258,10 +364,12 @@
     fn handle_slot_request(
         &mut self,
         now: MonotonicTime,
-        request: SlotRequest,
+        mut request: SlotRequest,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(refusal) = self.refuse_by_limits(now, &request) {
+        let bound = self.bind_to_version(now, &mut request);
+        let refusal = bound.err().or_else(|| self.refuse_by_limits(now, &request));
+        if let Some(refusal) = refusal {
             let pool = self.pools.entry(request.service.clone()).or_default();
             pool.record_immediate_refusal(now, &request);
             effects.push(Effect {
@@ -285,11 +393,7 @@
         }
     }
 
-    fn refuse_by_limits(
-        &mut self,
-        now: MonotonicTime,
-        request: &SlotRequest,
-    ) -> Option<crate::Refusal> {
+    fn refuse_by_limits(&mut self, now: MonotonicTime, request: &SlotRequest) -> Option<Refusal> {
         if self.crash_suspects.is_refused(now, request.fingerprint) {
             return Some(refuse(RefusalReason::CrashSuspect, Duration::MAX));
         }
@@ -347,6 +451,11 @@
                 | RunOutcome::Withheld
                 | RunOutcome::Cancelled => {}
             }
+            if report.outcome == RunOutcome::Completed
+                && let Some(stream) = &finished.request.stream
+            {
+                self.streams.note_completed(now, stream.id);
+            }
             if !report.outcome.may_have_run()
                 && let Some(account) = &finished.request.account
             {
@@ -372,6 +481,43 @@
         }
     }
 
+    /// Binds a request that resumes a stream to the software version that began it.
+    ///
+    /// # Errors
+    /// When that version is not known.
+    fn bind_to_version(
+        &self,
+        now: MonotonicTime,
+        request: &mut SlotRequest,
+    ) -> Result<(), Refusal> {
+        let Some(StreamTry {
+            id,
+            progress:
+                StreamProgress::Resumed {
+                    version,
+                    saw_several_versions,
+                },
+            ..
+        }) = &mut request.stream
+        else {
+            return Ok(());
+        };
+        if version.is_none() {
+            let pool = self.pools.get(&request.service);
+            let is_certain = self.is_registry_fresh && !*saw_several_versions;
+            let only = pool.filter(|_| is_certain);
+            let only = only.and_then(|pool| pool.only_version(now));
+            *version = self.streams.version(now, *id).or(only).cloned();
+        }
+        if version.is_none() {
+            return Err(refuse(
+                RefusalReason::StreamVersionUnknown,
+                UNKNOWN_STREAM_RETRY_AFTER,
+            ));
+        }
+        Ok(())
+    }
+
     /// Returns the share of the upstreams' rate limits that this owner may use.
     ///
     /// A node that most nodes have not called recently decides only for itself, even if it sees most of them. Many such
@@ -425,6 +571,7 @@
             pool.set_rate_limit_share(now, rate_limit_share);
             pool.apply_notices(now, &self.notices);
         }
+        self.update_stream_sharing(now);
         // Registry entries may name any service; dropping unused pools keeps them from accumulating.
         self.pools.retain(|_, pool| !pool.is_unused());
     }
--- a/crates/dragonflystep_dispatch/src/event.rs
+++ b/crates/dragonflystep_dispatch/src/event.rs
@@ -10,6 +10,7 @@
         quota::QuotaRules,
         retry_budget::RetryLimits,
         rollout::{RolloutOrder, RolloutPhase, RolloutRules},
+        stream_versions::StreamVersion,
         upstream::Upstream,
         usage::UsageReport,
         warm_up::WarmUpRules,
@@ -72,6 +73,13 @@
     VisibilityChanged(Visibility),
     /// The number of nodes that recently called this one, or answered its calls, changed.
     RecentContactsChanged(Visibility),
+    /// Whether this node learns of changes of the registry changed: it sees most of the nodes, or the platform has answered
+    /// lately.
+    RegistryFreshnessChanged(bool),
+    /// Another node reported at which software versions streams began.
+    StreamsReported(Vec<StreamVersion>),
+    /// This node, as the entry node, was granted a slot for a stream at this software version.
+    StreamBegan(StreamVersion),
     /// An upstream reported its load.
     LoadObserved(UpstreamLoad),
     /// An upstream stated something about itself in an answer.
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 mod rollout;
 mod routing;
 mod speed;
+mod stream_versions;
 mod upstream;
 mod usage;
 mod warm_up;
@@ -44,12 +45,12 @@
     event::{Effect, Event, SharedLimits},
     ids::{
         AccountName, DataCentreName, MonotonicTime, NodeIncarnation, NodeName, PromptSegmentId,
-        RegionName, RequestFingerprint, RouteName, RunId, ServiceName, Tier, UpstreamId,
+        RegionName, RequestFingerprint, RouteName, RunId, ServiceName, StreamId, Tier, UpstreamId,
         UpstreamVersion, node_incarnation_of, run_id,
     },
     messages::{
         ActiveRun, BackOff, Grant, PromptSegment, Refusal, RefusalReason, RunOutcome, RunReport,
-        SlotDecision, SlotRequest, UpstreamLoad, WorkSize,
+        SlotDecision, SlotRequest, StreamProgress, StreamTry, UpstreamLoad, WorkSize,
     },
     notices::{NoticeKind, UpstreamNotice},
     ownership::{Member, Visibility, partition_limit_share, rank_owners},
@@ -57,6 +58,7 @@
     quota::QuotaRules,
     rollout::{RolloutOrder, RolloutPhase, RolloutRules, RolloutStep},
     routing::{RouteMatch, RoutingError, RoutingTable},
+    stream_versions::StreamVersion,
     upstream::{Upstream, UpstreamPhase},
     usage::{AccountUsage, UsageLedger, UsageReport, UsageSlice},
     warm_up::WarmUpRules,
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -285,6 +285,23 @@
 /// [`ROLLOUT_MIN_ANSWERS`].
 pub(crate) const ROLLOUT_MIN_ROUTE_ANSWERS: f64 = 8.0;
 
+/// Time for which a software version counts after its last upstream left, because a caller may still resume a stream that
+/// began there. Longer than callers usually wait for a stream.
+pub(crate) const VERSION_MEMORY: Duration = Duration::from_secs(30);
+
+/// Time for which the version of a stream is remembered after the stream was relayed to its end.
+pub(crate) const COMPLETED_STREAM_LIFETIME: Duration = Duration::from_secs(3);
+
+/// Maximum number of streams whose versions are remembered; about 6 MB.
+pub(crate) const MAX_STREAM_RECORDS: usize = 100_000;
+
+/// Interval at which streams that can't be resumed any more are dropped.
+pub(crate) const STREAM_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Retry-after time stated to the caller of a stream whose version is not known. Another node may know it, or a new owner
+/// soon learns it.
+pub(crate) const UNKNOWN_STREAM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// How long upstreams of a version for which no order is known get no requests; the order may become known a moment
 /// later than its upstreams.
 pub(crate) const UNORDERED_VERSION_HOLD: Duration = Duration::from_millis(1_500);
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -1,9 +1,12 @@
 //! The messages between an entry node and the owner of a service: slot requests, decisions, and reports of runs.
 
 use {
-    crate::ids::{
-        AccountName, DataCentreName, MonotonicTime, PromptSegmentId, RequestFingerprint, RouteName,
-        RunId, ServiceName, Tier, UpstreamId,
+    crate::{
+        ids::{
+            AccountName, DataCentreName, MonotonicTime, PromptSegmentId, RequestFingerprint,
+            RouteName, RunId, ServiceName, StreamId, Tier, UpstreamId, UpstreamVersion,
+        },
+        upstream::Upstream,
     },
     std::time::Duration,
 };
@@ -28,6 +31,31 @@
     pub segments: Vec<PromptSegment>,
 }
 
+/// A stream that a request begins or resumes and that may be resumed if it breaks off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamTry {
+    /// The stream.
+    pub id: StreamId,
+    /// Time until the caller of the stream gives up, over all of its tries.
+    pub caller_time_left: Duration,
+    /// Whether the stream has begun already.
+    pub progress: StreamProgress,
+}
+
+/// Whether the caller of a stream has received events of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamProgress {
+    /// It has none, so that any upstream may run the request.
+    New,
+    /// It has some. Only upstreams of the software version that began the stream may run the request.
+    Resumed {
+        /// The version that began the stream; absent if the entry node does not know it.
+        version: Option<UpstreamVersion>,
+        /// Whether the entry node saw several versions within the time in which callers may come back.
+        saw_several_versions: bool,
+    },
+}
+
 /// An entry node's request for a slot at an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlotRequest {
@@ -61,6 +89,8 @@
     pub data_centre: DataCentreName,
     /// Data centres whose upstreams may run the request; absent if all may.
     pub allowed_data_centres: Option<Vec<DataCentreName>>,
+    /// The stream that the request begins or resumes; absent if the answer can't be resumed.
+    pub stream: Option<StreamTry>,
 }
 
 impl SlotRequest {
@@ -80,7 +110,7 @@
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(5), longest_pause: None,
     ///     size: WorkSize { segments: vec![PromptSegment { id: 7, tokens: 60 }], ..WorkSize::default() },
     ///     previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, data_centre: "a".into(),
-    ///     allowed_data_centres: Some(vec!["a".into()]),
+    ///     allowed_data_centres: Some(vec!["a".into()]), stream: None,
     /// };
     /// request.redact_for(Some(&"a".into()));
     /// assert_eq!(request.size.segments.len(), 1);
@@ -98,8 +128,42 @@
         }
     }
 
+    /// The software version that an upstream must have to run the request; absent if all may run it, or if the request
+    /// resumes a stream whose version is not known.
+    ///
+    /// # Examples
+    /// ```
+    /// use dragonflystep_dispatch::{SlotRequest, StreamProgress, StreamTry, WorkSize};
+    /// use std::time::Duration;
+    ///
+    /// let stream = StreamTry {
+    ///     id: 3, caller_time_left: Duration::from_secs(4),
+    ///     progress: StreamProgress::Resumed { version: Some("v2".into()), saw_several_versions: true },
+    /// };
+    /// let request = SlotRequest {
+    ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
+    ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
+    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9,
+    ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream),
+    /// };
+    /// assert_eq!(request.required_version().map(|version| &**version), Some("v2"));
+    /// ```
+    pub fn required_version(&self) -> Option<&UpstreamVersion> {
+        match &self.stream.as_ref()?.progress {
+            StreamProgress::New => None,
+            StreamProgress::Resumed { version, .. } => version.as_ref(),
+        }
+    }
+
+    /// Whether an upstream may run the request, by its data centre and its version.
+    pub(crate) fn permits(&self, upstream: &Upstream) -> bool {
+        let version = self.required_version();
+        self.permits_data_centre(&upstream.data_centre)
+            && version.is_none_or(|version| *version == upstream.version)
+    }
+
     /// Whether the upstreams of a data centre may run the request.
-    pub(crate) fn permits(&self, data_centre: &DataCentreName) -> bool {
+    pub(crate) fn permits_data_centre(&self, data_centre: &DataCentreName) -> bool {
         let allowed = self.allowed_data_centres.as_ref();
         allowed.is_none_or(|allowed| allowed.contains(data_centre))
     }
@@ -112,6 +176,8 @@
     pub upstream: UpstreamId,
     /// Address of the upstream, as IP:PORT.
     pub address: String,
+    /// Version of the upstream's software; empty if it states none, or if the owner does not say.
+    pub version: UpstreamVersion,
 }
 
 /// Why an owner refuses a slot request.
@@ -127,6 +193,8 @@
     NoUpstream,
     /// The request broke several upstreams that ran it.
     CrashSuspect,
+    /// The request resumes a stream, and nobody knows at which software version that began.
+    StreamVersionUnknown,
 }
 
 /// An owner's answer that a run gets no slot.
--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -70,7 +70,7 @@
             .applies_to(now, node_incarnation_of(request.run));
         if is_backed_off
             || request.excluded_upstreams.contains(&upstream.entry.id)
-            || !request.permits(&upstream.entry.data_centre)
+            || !request.permits(&upstream.entry)
             || exceeds_memory(request, upstream, model)
         {
             continue;
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -11,11 +11,14 @@
 pub use self::summary::{PoolSummary, UpstreamSummary};
 
 use {
-    self::{candidates::Search, placing::Choice},
+    self::{
+        candidates::{FreeUpstreams, Search},
+        placing::Choice,
+    },
     crate::{
         catalogue::{Engine, WarmUp},
         event::Effect,
-        ids::{MonotonicTime, RunId, Tier, UpstreamId},
+        ids::{MonotonicTime, RunId, Tier, UpstreamId, UpstreamVersion},
         limits::{DEFAULT_CACHE_TOKENS, MAX_SKIPPED_REQUESTS, UNORDERED_VERSION_HOLD},
         messages::{BackOff, RefusalReason, SlotRequest},
         notices::UpstreamNotices,
@@ -25,6 +28,7 @@
         retry_budget::RetryBudget,
         rollout::{Rollout, RolloutRules},
         speed::{RouteAverages, Speed},
+        stream_versions::{SeenVersions, StreamVersion},
         upstream::{LiveUpstream, Run, Upstream},
         warm_up::WarmUpRules,
     },
@@ -76,6 +80,10 @@
     refused_waiting: Vec<SlotRequest>,
     /// Back-offs that began since they were last taken.
     back_offs: Vec<BackOff>,
+    /// Software versions that its upstreams had lately.
+    seen_versions: SeenVersions,
+    /// Streams for which slots were granted since they were last taken.
+    granted_streams: Vec<StreamVersion>,
 }
 
 impl ServicePool {
@@ -124,6 +132,9 @@
         for (_, removed) in previous {
             self.unlisted_runs.extend(removed.runs);
         }
+        let listed = self.upstreams.iter();
+        let versions = listed.map(|upstream| upstream.entry.version.clone());
+        self.seen_versions.update(now, versions.collect());
         self.rebuild_indices();
         self.forget_replaced_rollout();
     }
@@ -248,7 +259,7 @@
             return;
         }
         let mut free_upstreams = self.free_upstreams(now);
-        if free_upstreams.main.is_empty() && free_upstreams.canary.is_empty() {
+        if !self.may_grant(&free_upstreams) {
             return;
         }
         self.queue.sort(now);
@@ -263,18 +274,43 @@
                     let queued = self.queue.take(index);
                     effects.push(self.grant(now, queued.request, upstream, prediction));
                     free_upstreams = self.free_upstreams(now);
-                    if free_upstreams.main.is_empty() && free_upstreams.canary.is_empty() {
+                    if !self.may_grant(&free_upstreams) {
                         return;
                     }
                 }
                 Choice::Wait => {
+                    // Requests that need one version don't keep others from being examined.
+                    let is_bound = self.queue.get(index).request.required_version().is_some();
                     index += 1;
-                    skipped += 1;
+                    skipped += usize::from(!is_bound);
                 }
             }
         }
     }
 
+    /// Whether a waiting request may get a slot. Those that resume a stream may do so at upstreams which a roll-out keeps from
+    /// other requests.
+    fn may_grant(&self, free_upstreams: &FreeUpstreams) -> bool {
+        !free_upstreams.main.is_empty()
+            || !free_upstreams.canary.is_empty()
+            || (self.rollout.is_some() && self.queue.has_bound_to_version())
+    }
+
+    /// Returns the streams for which slots were granted since the last call.
+    pub(crate) fn take_granted_streams(&mut self) -> Vec<StreamVersion> {
+        std::mem::take(&mut self.granted_streams)
+    }
+
+    /// Whether streams that callers may still resume may have begun at several software versions.
+    pub(crate) fn has_several_versions(&self, now: MonotonicTime) -> bool {
+        self.seen_versions.are_several(now)
+    }
+
+    /// Returns the software version at which all streams began that callers may still resume, if there is only one.
+    pub(crate) fn only_version(&self, now: MonotonicTime) -> Option<&UpstreamVersion> {
+        self.seen_versions.only(now)
+    }
+
     /// Returns the requests that were refused after waiting since the last call. They did not run.
     pub(crate) fn take_refused_waiting(&mut self) -> Vec<SlotRequest> {
         std::mem::take(&mut self.refused_waiting)
--- a/crates/dragonflystep_dispatch/src/pool/candidates.rs
+++ b/crates/dragonflystep_dispatch/src/pool/candidates.rs
@@ -10,6 +10,7 @@
     crate::{
         ids::MonotonicTime,
         limits::{MAX_CANDIDATES, MAX_PROBES, SMALL_POOL_UPSTREAMS},
+        messages::SlotRequest,
         upstream::LiveUpstream,
     },
     std::{cell::Cell, collections::VecDeque},
@@ -105,6 +106,38 @@
         free_upstreams
     }
 
+    /// Finds all upstreams that have free slots now and may go on with a stream. If none that may do so is usable, upstreams
+    /// that are backed off are among them.
+    ///
+    /// Resumed streams are rare, so all upstreams of a large pool are examined: a sample may hold none of the version.
+    pub(super) fn free_upstreams_for_stream(
+        &self,
+        now: MonotonicTime,
+        request: &SlotRequest,
+    ) -> Vec<usize> {
+        if self.has_used_slot_share() {
+            return Vec::new();
+        }
+        let upstreams = self.upstreams.iter().enumerate();
+        let takes = upstreams.filter(|(_, upstream)| {
+            let id = &upstream.entry.id;
+            request.permits(&upstream.entry)
+                && !request.excluded_upstreams.contains(id)
+                && self.takes_resumed_streams(upstream)
+        });
+        let takes: Vec<_> = takes.collect();
+        let is_any_usable = takes.iter().any(|(_, upstream)| upstream.is_usable(now));
+        let has_slot = |upstream: &LiveUpstream| {
+            if is_any_usable {
+                upstream.has_free_slot(now)
+            } else {
+                upstream.has_fallback_slot(now)
+            }
+        };
+        let free = takes.iter().filter(|(_, upstream)| has_slot(upstream));
+        free.map(|(index, _)| *index).collect()
+    }
+
     /// Whether this owner sees no majority and uses its share of the slots already.
     fn has_used_slot_share(&self) -> bool {
         let Some(share) = self.slot_share else {
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -11,6 +11,7 @@
         messages::{Grant, SlotDecision, SlotRequest},
         placement::{Prediction, ServiceModel, choose},
         queue::QueuedRequest,
+        stream_versions::StreamVersion,
         upstream::Run,
     },
 };
@@ -56,6 +57,19 @@
         free_upstreams: &FreeUpstreams,
     ) -> Choice {
         let objective_left = queued.objective_left(now);
+        if queued.request.required_version().is_some() {
+            let found = choose(
+                now,
+                &queued.request,
+                objective_left,
+                &self.upstreams,
+                &self.free_upstreams_for_stream(now, &queued.request),
+                self.model(),
+            );
+            return found.map_or(Choice::Wait, |(index, prediction)| {
+                Choice::Grant(index, prediction)
+            });
+        }
         if queued.is_canary && !free_upstreams.canary.is_empty() {
             let (request, canary) = (&queued.request, &free_upstreams.canary);
             let found = choose(
@@ -112,6 +126,7 @@
         let grant = Grant {
             upstream: entry.id.clone(),
             address: entry.address.clone(),
+            version: entry.version.clone(),
         };
         let run = request.run;
         self.granted_slots += 1;
@@ -133,6 +148,13 @@
         prediction: Prediction,
     ) {
         let upstream = &mut self.upstreams[index];
+        if let Some(stream) = &request.stream {
+            self.granted_streams.push(StreamVersion {
+                stream: stream.id,
+                version: upstream.entry.version.clone(),
+                lifetime: stream.caller_time_left,
+            });
+        }
         upstream.prefix_cache.read(at, &request.size.segments);
         let run = Run {
             prefill_backlog_tokens: prediction.prefill_backlog_tokens,
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -11,6 +11,7 @@
         messages::{RefusalReason, SlotDecision, SlotRequest},
         refusal::{predicted_wait, refuse},
         speed::Speed,
+        upstream::LiveUpstream,
     },
     std::time::Duration,
 };
@@ -75,22 +76,25 @@
         });
     }
 
-    /// Whether the service has upstreams, but evacuations and the regions of the request leave none of them. Such a
-    /// request would wait in vain.
+    /// Whether the service has upstreams, but evacuations, the regions of the request and the software version that it needs
+    /// leave none of them. Such a request would wait in vain.
     pub(super) fn is_unservable(&self, request: &SlotRequest) -> bool {
-        let is_affected = self.has_evacuated || request.allowed_data_centres.is_some();
+        let is_bound = request.required_version().is_some();
+        let is_affected = self.has_evacuated || request.allowed_data_centres.is_some() || is_bound;
         if !is_affected || self.upstreams.is_empty() {
             return false;
         }
-        !self
-            .upstreams
-            .iter()
-            .any(|upstream| !upstream.is_evacuated && request.permits(&upstream.entry.data_centre))
+        let takes_stream = |upstream: &LiveUpstream| {
+            !is_bound || (upstream.is_open() && self.takes_resumed_streams(upstream))
+        };
+        !self.upstreams.iter().any(|upstream| {
+            !upstream.is_evacuated && request.permits(&upstream.entry) && takes_stream(upstream)
+        })
     }
 
     /// Refuses the waiting requests for which no upstream is left.
     pub(crate) fn refuse_unservable(&mut self, now: MonotonicTime, effects: &mut Vec<Effect>) {
-        if !self.has_evacuated {
+        if !self.has_evacuated && !self.queue.has_bound_to_version() {
             return;
         }
         let unservable = self
@@ -150,7 +154,7 @@
             .upstreams
             .iter()
             .filter(|upstream| upstream.is_usable(now) && self.takes_main_traffic(upstream))
-            .filter(|upstream| request.permits(&upstream.entry.data_centre))
+            .filter(|upstream| request.permits_data_centre(&upstream.entry.data_centre))
             .map(|upstream| upstream.effective_slots(run_ms))
             .sum();
         if slots == 0.0 {
--- a/crates/dragonflystep_dispatch/src/pool/rolling.rs
+++ b/crates/dragonflystep_dispatch/src/pool/rolling.rs
@@ -122,6 +122,13 @@
         rollout.is_none_or(|rollout| rollout.takes_main_traffic(&upstream.entry.version))
     }
 
+    /// Whether streams that began at the upstream's software version may go on there.
+    pub(super) fn takes_resumed_streams(&self, upstream: &LiveUpstream) -> bool {
+        let rollout = self.rollout.as_ref();
+        let sends_canaries = rollout.is_some_and(Rollout::sends_canaries);
+        self.takes_main_traffic(upstream) || (sends_canaries && self.is_of_new_version(upstream))
+    }
+
     /// Drops a completed roll-out once its version is gone: the version that replaced it was started without an order.
     pub(super) fn forget_replaced_rollout(&mut self) {
         let is_completed = |rollout: &mut Rollout| rollout.phase() == RolloutPhase::Completed;
@@ -138,7 +145,9 @@
     pub(super) fn count_for_rollout(&mut self, request: &SlotRequest) -> bool {
         // An owner that sees no majority cannot decide the roll-out, so it sends no canaries. A request that failed
         // before is not exposed to another risk.
-        let is_eligible = request.previous_attempts == 0 && self.slot_share.is_none();
+        let is_eligible = request.previous_attempts == 0
+            && request.required_version().is_none()
+            && self.slot_share.is_none();
         let rules = self.rollout_rules;
         let rollout = self.rollout.as_mut();
         rollout.is_some_and(|rollout| rollout.admit_canary(&request.route, rules, is_eligible))
--- a/crates/dragonflystep_dispatch/src/queue.rs
+++ b/crates/dragonflystep_dispatch/src/queue.rs
@@ -75,6 +75,12 @@
         self.waiting.insert(index, queued);
     }
 
+    /// Whether a request waits that only upstreams of one software version may run.
+    pub(crate) fn has_bound_to_version(&self) -> bool {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|queued| queued.request.required_version().is_some())
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -201,6 +201,7 @@
         fingerprint: run,
         data_centre: "a".into(),
         allowed_data_centres: None,
+        stream: None,
     }
 }
 
--- a/crates/dragonflystep_edge/src/attempts.rs
+++ b/crates/dragonflystep_edge/src/attempts.rs
@@ -5,7 +5,7 @@
         job::Job,
         slots::{Slot, acquire_slot},
     },
-    dragonflystep_dispatch::{Refusal, UpstreamId},
+    dragonflystep_dispatch::{Refusal, UpstreamId, UpstreamVersion},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -23,6 +23,8 @@
     pub(crate) queued: Duration,
     /// The upstreams of all granted slots in order, including those to which nothing was sent.
     tried: Vec<UpstreamId>,
+    /// Software version of the upstream whose events the caller received; none before the first event.
+    pub(crate) stream_version: Option<UpstreamVersion>,
 }
 
 impl Attempts {
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -12,19 +12,22 @@
         burn::{FAILED, IN_TIME, LATE, REFUSED},
         dialect::{AnswerFacts, RequestFacts, UpstreamFacts},
         held_bytes::Hold,
-        limits::{LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS, OTHER_NODE_RETRY_AFTER},
+        limits::{
+            DEFAULT_TIME_LEFT, LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS, OTHER_NODE_RETRY_AFTER,
+        },
         local_reply::LocalReply,
         node::Node,
         relay::{Relay, buffer_answer},
         slots::{RunStats, Slot},
         stop::OpenRequest,
+        stream_versions::stream_id,
         upstream_connections::{OpenConnection, SendError},
         upstream_health::confirm_upstream,
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
         Account, DataCentreName, Refusal, Route, RouteKind, RunOutcome, ServiceName, SlotRequest,
-        Tier, UpstreamId,
+        StreamProgress, StreamTry, Tier, UpstreamId,
     },
     http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header},
     http_body_util::{BodyExt, Full},
@@ -97,7 +100,9 @@
     pub(crate) async fn run(self: Rc<Self>) -> Response<AnswerBody> {
         let mut attempts = Attempts::default();
         let mut server_error = None;
-        if let Some(last_event_id) = &self.facts.last_event_id {
+        if let Some(last_event_id) = &self.facts.last_event_id
+            && self.is_resumed()
+        {
             let resumes = self.facts.resumes.as_deref().unwrap_or("");
             log::info!(request:% = self.facts.request_id, route:% = self.route.name, resumes, last_event_id:%; "a caller resumes a stream");
             self.node.metrics.count("streams_resumed_total", "caller");
@@ -186,9 +191,46 @@
             fingerprint: self.fingerprint,
             data_centre: self.node.settings.data_centre.clone(),
             allowed_data_centres: self.allowed_data_centres.clone(),
+            stream: self.stream_try(attempts),
         }
     }
 
+    /// What the next attempt does with its stream; none if the stream may not be resumed.
+    fn stream_try(&self, attempts: &Attempts) -> Option<StreamTry> {
+        let RouteKind::Stream {
+            is_resumable: true, ..
+        } = self.route.kind
+        else {
+            return None;
+        };
+        let facts = &self.facts;
+        // A caller that received no event begins a new stream, whatever it names.
+        let resumed = facts.resumes.as_ref().filter(|_| self.is_resumed());
+        let id = stream_id(self.account_name(), resumed.unwrap_or(&facts.request_id));
+        let owner = &self.node.owner;
+        let progress = if attempts.stream_version.is_some() || self.is_resumed() {
+            let known = attempts.stream_version.clone();
+            StreamProgress::Resumed {
+                version: known.or_else(|| owner.stream_version(id)),
+                saw_several_versions: owner.has_several_versions(&self.service),
+            }
+        } else {
+            StreamProgress::New
+        };
+        let caller_waits = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
+        Some(StreamTry {
+            id,
+            caller_time_left: caller_waits.saturating_sub(self.arrived.elapsed()),
+            progress,
+        })
+    }
+
+    /// Whether the caller continues a stream of which it has received events.
+    fn is_resumed(&self) -> bool {
+        let last_event_id = self.facts.last_event_id.as_ref();
+        last_event_id.is_some_and(|id| !id.is_empty())
+    }
+
     /// Sends the request to the upstream of its slot.
     ///
     /// A non-idempotent request is sent by a task of its own, so that it is not cancelled when its caller disconnects.
@@ -224,6 +266,11 @@
             slot.return_unused();
             return DispatchOutcome::NotRun(WITHHELD);
         }
+        if !slot.has_required_version() {
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, version:% = slot.version(); "the upstream has another software version than the stream; its slot is returned");
+            slot.return_unused();
+            return DispatchOutcome::NotRun(WITHHELD);
+        }
         if !slot.accepts_requests() {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream wants no request, as this node was told; its place is given back");
             slot.return_unused();
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -39,6 +39,7 @@
 mod settings_file;
 mod slots;
 mod stop;
+mod stream_versions;
 mod suspicion;
 mod tunnels;
 mod upstream_connections;
--- a/crates/dragonflystep_edge/src/local_reply.rs
+++ b/crates/dragonflystep_edge/src/local_reply.rs
@@ -46,6 +46,9 @@
                 (StatusCode::SERVICE_UNAVAILABLE, "retry_budget_spent")
             }
             RefusalReason::QuotaExceeded => (StatusCode::TOO_MANY_REQUESTS, "quota_exceeded"),
+            RefusalReason::StreamVersionUnknown => {
+                (StatusCode::SERVICE_UNAVAILABLE, "stream_version_unknown")
+            }
             // A retry might crash the next upstream, so the reply states no time for one.
             RefusalReason::CrashSuspect => {
                 return Self::new(StatusCode::BAD_GATEWAY, "breaks_upstreams");
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -107,6 +107,9 @@
     /// Start of the current period in which the platform answered some node without a gap, as far as this
     /// node has learned.
     platform_up_since: Cell<MonotonicTime>,
+    /// The nodes that got copies of what this node knows of streams, and whether it was the owner then.
+    pub(crate) stream_keepers: RefCell<Vec<NodeName>>,
+    pub(crate) was_owner: Cell<bool>,
     /// The owner that this node used last; absent before the first request.
     last_owner: RefCell<Option<NodeName>>,
 }
@@ -154,6 +157,8 @@
             platform_answered_at: Cell::new(Duration::ZERO),
             platform_heard_at: Cell::new(Duration::ZERO),
             platform_up_since: Cell::new(Duration::ZERO),
+            stream_keepers: RefCell::default(),
+            was_owner: Cell::new(false),
             last_owner: RefCell::default(),
             network,
             settings,
--- a/crates/dragonflystep_edge/src/node/gauges.rs
+++ b/crates/dragonflystep_edge/src/node/gauges.rs
@@ -26,6 +26,7 @@
                 "members_visible",
                 self.members.mutually_visible_count(now) as f64,
             ),
+            ("streams_known", self.owner.stream_count() as f64),
             ("runs_of_this_entry", self.entry_runs.count() as f64),
             (
                 "evacuated_data_centres",
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -72,6 +72,16 @@
         self.members.preferred_owners().contains(node) || self.ranked_owners(1).contains(node)
     }
 
+    /// Whether this node owns all services, as far as it knows.
+    pub(crate) fn is_current_owner(&self) -> bool {
+        self.ranked_owners(1).contains(&self.settings.node)
+    }
+
+    /// Whether this node learns of changes of the registry: it sees most of the nodes, or the platform has answered lately.
+    fn is_registry_fresh(&self) -> bool {
+        self.sees_majority() || self.platform_silence() <= MAX_PLATFORM_SILENCE
+    }
+
     /// Time since the platform last answered this node, or another one that reported it.
     pub(crate) fn platform_silence(&self) -> Duration {
         self.owner
@@ -168,6 +178,8 @@
             };
             self.metrics.count("reach_changes_total", change);
         }
+        self.owner.set_registry_fresh(self.is_registry_fresh());
+        self.update_stream_keepers();
     }
 
     /// Reports to the dispatcher how many nodes have contacted this one recently. Visibility may still date from
--- a/crates/dragonflystep_edge/src/node/run.rs
+++ b/crates/dragonflystep_edge/src/node/run.rs
@@ -11,6 +11,7 @@
         server::{ListenerKind, serve_listener},
         settings::NodeSettings,
         stop::stop,
+        stream_versions::share_granted_streams,
     },
     dragonflystep_peer::{Network, NetworkListener},
     std::{collections::HashSet, future::Future, net::SocketAddr, rc::Rc, time::Duration},
@@ -61,6 +62,7 @@
     spawn_local(serve_peers(node.clone(), peers));
     spawn_local(node.owner.clone().run());
     spawn_local(node.owner.clone().log_summaries());
+    spawn_local(share_granted_streams(node.clone()));
     spawn_local(exchange_views(node.clone()));
     spawn_local(watch_visibility(node.clone()));
     spawn_local(close_unused_connections(node.clone()));
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -9,7 +9,8 @@
     dragonflystep_dispatch::{
         ActiveRun, Dispatcher, Effect, Event, Grant, MonotonicTime, NodeIncarnation, PoolSummary,
         RefusalReason, RunId, RunOutcome, RunReport, ServiceName, SharedLimits, SlotDecision,
-        SlotRequest, UpstreamId, UpstreamNotice, Visibility, node_incarnation_of,
+        SlotRequest, StreamId, StreamVersion, UpstreamId, UpstreamNotice, UpstreamVersion,
+        Visibility, node_incarnation_of,
     },
     std::{
         cell::{Cell, RefCell},
@@ -38,6 +39,9 @@
     /// Wakes the loop that ticks the dispatcher when a slot request has to wait.
     request_queued: Notify,
     rollouts: Rc<Rollouts>,
+    /// Notified when slots were granted to streams that other nodes have to know of.
+    pub(crate) streams_granted: Notify,
+    is_registry_fresh: Cell<bool>,
 }
 
 impl Owner {
@@ -56,6 +60,8 @@
             }),
             request_queued: Notify::new(),
             rollouts,
+            streams_granted: Notify::new(),
+            is_registry_fresh: Cell::new(true),
         }
     }
 
@@ -80,6 +86,9 @@
         let effects = dispatcher.reduce(self.now(), event);
         let rollout_steps = dispatcher.take_rollout_steps();
         let back_offs = dispatcher.take_back_offs();
+        if dispatcher.has_granted_streams() {
+            self.streams_granted.notify_one();
+        }
         drop(dispatcher);
         for back_off in back_offs {
             let node_start = node_incarnation_of(back_off.run);
@@ -119,6 +128,51 @@
         }
     }
 
+    /// Stores whether this node learns of changes of the registry.
+    pub(crate) fn set_registry_fresh(&self, is_fresh: bool) {
+        if self.is_registry_fresh.replace(is_fresh) != is_fresh {
+            self.apply(Event::RegistryFreshnessChanged(is_fresh));
+        }
+    }
+
+    /// The software version at which a stream began; none if this node does not know it.
+    pub(crate) fn stream_version(&self, stream: StreamId) -> Option<UpstreamVersion> {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.stream_version(self.now(), stream).cloned()
+    }
+
+    /// Whether streams of a service that callers may still resume may have begun at several software versions.
+    pub(crate) fn has_several_versions(&self, service: &str) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.has_several_versions(self.now(), service)
+    }
+
+    /// Whether other nodes need copies of what this one knows of streams.
+    pub(crate) fn shares_streams(&self) -> bool {
+        self.dispatcher.borrow().shares_streams()
+    }
+
+    /// The streams for which this node granted slots since the last call.
+    pub(crate) fn take_granted_streams(&self) -> Vec<StreamVersion> {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.take_granted_streams(self.now())
+    }
+
+    /// All streams whose software versions this node knows.
+    pub(crate) fn streams(&self) -> Vec<StreamVersion> {
+        self.dispatcher.borrow().streams(self.now())
+    }
+
+    /// The streams among them whose requests this node received from their callers.
+    pub(crate) fn own_streams(&self) -> Vec<StreamVersion> {
+        self.dispatcher.borrow().own_streams(self.now())
+    }
+
+    /// Number of streams whose software versions this node knows.
+    pub(crate) fn stream_count(&self) -> usize {
+        self.dispatcher.borrow().stream_count()
+    }
+
     /// Whether this node has heard from most of the nodes recently.
     pub(crate) fn has_majority_contact(&self) -> bool {
         self.recent_contacts.get().is_majority()
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -7,7 +7,7 @@
     },
     dragonflystep_dispatch::{
         ActiveRun, Event, NodeName, RunId, RunReport, ServiceName, SlotDecision, SlotRequest,
-        UpstreamLoad, UpstreamNotice, UsageReport,
+        StreamVersion, UpstreamLoad, UpstreamNotice, UsageReport,
     },
     dragonflystep_peer::{
         Digest, ListPiece, ListPieceRequest, NetworkListener, PeerHandler, RequestedTunnel,
@@ -109,6 +109,10 @@
         self.node.apply_notices(notices, &peer);
     }
 
+    fn report_streams(&self, streams: Vec<StreamVersion>) {
+        self.node.owner.apply(Event::StreamsReported(streams));
+    }
+
     fn fetch_list_piece(&self, request: ListPieceRequest) -> ListPiece {
         self.node.list_piece(request)
     }
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -164,7 +164,12 @@
 
     /// Relays the events of this upstream until its stream ends or breaks off, the caller disconnects or the deadline
     /// has passed.
-    async fn forward_events(self, job: &Job, caller: &mut CallerStream) -> RelayEnd {
+    async fn forward_events(
+        self,
+        job: &Job,
+        attempts: &mut Attempts,
+        caller: &mut CallerStream,
+    ) -> RelayEnd {
         let framing = BodyFraming::of(self.response.headers());
         job.node
             .metrics
@@ -210,6 +215,7 @@
                             let metrics = &job.node.metrics;
                             metrics.observe("to_first_event_ms", name, elapsed);
                             caller.first_event_after = Some(job.arrived.elapsed());
+                            attempts.stream_version = Some(self.slot.version());
                         }
                         // A caller that does not read holds memory for no longer than it may wait.
                         let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
@@ -325,7 +331,7 @@
 ) {
     let mut relay = first;
     loop {
-        let end = relay.forward_events(&job, &mut caller).await;
+        let end = relay.forward_events(&job, &mut attempts, &mut caller).await;
         match end {
             RelayEnd::Complete => {
                 log_stream_end(&job, &attempts, &caller);
@@ -365,8 +371,8 @@
     });
     let first_ms = caller.first_event_after.map_or(0, ms);
     let upstream = attempts.last_upstream();
-    let version = job.node.upstream_version(upstream).unwrap_or_default();
-    log::info!(request:% = job.facts.request_id, route:% = job.route.name, status = 200, upstream, version:%, sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
+    let version = attempts.stream_version.as_deref().unwrap_or("");
+    log::info!(request:% = job.facts.request_id, route:% = job.route.name, status = 200, upstream, version, sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
 }
 
 /// Continues a stream that broke off at another upstream, after the last event that arrived.
@@ -400,7 +406,7 @@
         }
         if let DispatchOutcome::Streaming(relay) = outcome {
             let upstream = attempts.last_upstream();
-            let version = job.node.upstream_version(upstream).unwrap_or_default();
+            let version = relay.slot.version();
             log::info!(request:% = job.facts.request_id, sent = attempts.sent, upstream, version:%; "stream continues at another upstream");
             return Some(*relay);
         }
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -12,7 +12,7 @@
     },
     dragonflystep_dispatch::{
         Event, Grant, NodeName, RunId, RunOutcome, RunReport, SlotDecision, SlotRequest,
-        UpstreamLoad, UpstreamNotice,
+        UpstreamLoad, UpstreamNotice, UpstreamVersion,
     },
     dragonflystep_peer::{PeerError, PeerLink},
     std::{rc::Rc, time::Duration},
@@ -95,6 +95,25 @@
             .permits_data_centre_of(&self.grant.upstream, allowed)
     }
 
+    /// Whether the upstream has the software version that the request needs, if it needs one.
+    pub(crate) fn has_required_version(&self) -> bool {
+        let runs = self.node.entry_runs.runs.borrow();
+        let required = runs
+            .get(&self.run)
+            .and_then(|run| run.request.required_version());
+        required.is_none_or(|required| *required == self.version())
+    }
+
+    /// The software version of the upstream, as the owner stated it or else by this node's registry; empty if neither
+    /// knows it.
+    pub(crate) fn version(&self) -> UpstreamVersion {
+        if !self.grant.version.is_empty() {
+            return self.grant.version.clone();
+        }
+        let version = self.node.upstream_version(&self.grant.upstream);
+        version.unwrap_or_default()
+    }
+
     /// Returns the slot unused and sends the owner the notices by which the upstream accepts no requests.
     pub(crate) fn return_unused(self) {
         self.share_notices(self.node.owner.notices());
@@ -239,6 +258,9 @@
         is_ended: false,
         grant,
     };
+    if let Some(stream) = &request.stream {
+        node.record_stream(stream.id, slot.version(), stream.caller_time_left);
+    }
     let run = EntryRun {
         upstream: slot.grant.upstream.clone(),
         started_at: node.owner.now(),
@@ -313,6 +335,9 @@
         return;
     }
     if let Some(report) = usage_report {
+        if node.owner.shares_streams() {
+            node.send_streams(owner, &Rc::new(node.owner.own_streams()));
+        }
         let notices = node.owner.notices();
         if !notices.is_empty() {
             spawn_local(send_notices(link.clone(), notices));
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -26,13 +26,24 @@
   # Data centres whose upstreams may run the request; all may if `isRestricted` is false.
   allowedDataCentres @16 :List(Text);
   isRestricted @17 :Bool;
+  # The stream that the request begins or resumes; 0 if it may not be resumed.
+  stream @18 :UInt64;
+  # Time until the caller of the stream gives up, over all tries.
+  callerTimeLeftMs @19 :UInt32;
+  isResumed @20 :Bool;
+  # For a resumed stream: the software version that began it; empty if the sender does not know it.
+  streamVersion @21 :Text;
+  # For a resumed stream: whether the sender saw several versions within the time in which a caller may come back.
+  sawSeveralVersions @22 :Bool;
 }
 
-enum RefusalReason { overloaded @0; quotaExceeded @1; retryBudgetSpent @2; noUpstream @3; crashSuspect @4; }
+enum RefusalReason {
+  overloaded @0; quotaExceeded @1; retryBudgetSpent @2; noUpstream @3; crashSuspect @4; streamVersionUnknown @5;
+}
 
 struct Verdict {
   union {
-    granted :group { upstream @0 :Text; address @1 :Text; }
+    granted :group { upstream @0 :Text; address @1 :Text; version @4 :Text; }
     refused :group { reason @2 :RefusalReason; retryAfterUs @3 :UInt64; }
   }
 }
@@ -85,6 +96,9 @@
 # What accounts spent through the reporting node within the last quota window, of which the report covers `coversUs`.
 struct SpendingReport { node @0 :Text; coversUs @1 :UInt64; accounts @2 :List(AccountSpending); }
 
+# Streams that began at one software version, and how long each of them may still be resumed.
+struct VersionStreams { version @0 :Text; streams @1 :List(UInt64); lifetimesMs @2 :List(UInt32); }
+
 # Summary of a node's state with the versions of its lists. Changes of a list are included only if the receiver's
 # version is older and the changes are few.
 struct Digest {
@@ -127,6 +141,8 @@
   # list.
   listSince @6 (piece :ListPieceAsk) -> (piece :ListPiece);
   noticed @7 (notices :List(UpstreamNotice)) -> ();
+  # Reports at which software versions streams began.
+  streamsBegan @8 (versions :List(VersionStreams)) -> ();
 }
 
 # Versioned lists that nodes replicate to one another.
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -8,6 +8,7 @@
             self, account_spending, ask, digest, ended, list_piece, list_piece_ask, running_run,
             spending_report, upstream_load, verdict,
         },
+        stream_codec::{decode_stream_try, encode_stream_try},
         to_us,
     },
     dragonflystep_dispatch::{
@@ -44,7 +45,13 @@
     out.set_data_centre(&*request.data_centre);
     if let Some(allowed) = &request.allowed_data_centres {
         out.set_is_restricted(true);
-        encode_text_list(allowed, out.init_allowed_data_centres(allowed.len() as u32));
+        let names = out
+            .reborrow()
+            .init_allowed_data_centres(allowed.len() as u32);
+        encode_text_list(allowed, names);
+    }
+    if let Some(stream) = &request.stream {
+        encode_stream_try(stream, out);
     }
 }
 
@@ -85,6 +92,7 @@
         } else {
             None
         },
+        stream: decode_stream_try(input)?,
     })
 }
 
@@ -102,6 +110,7 @@
             let mut granted = out.init_granted();
             granted.set_upstream(&*grant.upstream);
             granted.set_address(&*grant.address);
+            granted.set_version(&*grant.version);
         }
         SlotDecision::Refused(refusal) => {
             let mut refused = out.init_refused();
@@ -116,6 +125,7 @@
         verdict::Which::Granted(granted) => SlotDecision::Granted(Grant {
             upstream: granted.get_upstream()?.to_str()?.into(),
             address: granted.get_address()?.to_str()?.to_owned(),
+            version: granted.get_version()?.to_str()?.into(),
         }),
         verdict::Which::Refused(refused) => SlotDecision::Refused(Refusal {
             reason: decode_reason(refused.get_reason()?),
@@ -131,6 +141,7 @@
         RefusalReason::RetryBudgetSpent => peer_capnp::RefusalReason::RetryBudgetSpent,
         RefusalReason::NoUpstream => peer_capnp::RefusalReason::NoUpstream,
         RefusalReason::CrashSuspect => peer_capnp::RefusalReason::CrashSuspect,
+        RefusalReason::StreamVersionUnknown => peer_capnp::RefusalReason::StreamVersionUnknown,
     }
 }
 
@@ -141,6 +152,7 @@
         peer_capnp::RefusalReason::RetryBudgetSpent => RefusalReason::RetryBudgetSpent,
         peer_capnp::RefusalReason::NoUpstream => RefusalReason::NoUpstream,
         peer_capnp::RefusalReason::CrashSuspect => RefusalReason::CrashSuspect,
+        peer_capnp::RefusalReason::StreamVersionUnknown => RefusalReason::StreamVersionUnknown,
     }
 }
 
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -16,6 +16,7 @@
 mod notice_codec;
 mod server;
 mod sockets;
+mod stream_codec;
 mod tunnel;
 
 use generated::peer_capnp;
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -12,11 +12,12 @@
         notice_codec::encode_notices,
         peer_capnp::peer,
         server::vat_network,
+        stream_codec::{encode_streams, group_by_version},
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     dragonflystep_dispatch::{
-        ActiveRun, MonotonicTime, RunReport, SlotDecision, SlotRequest, UpstreamLoad,
-        UpstreamNotice, UsageReport,
+        ActiveRun, MonotonicTime, RunReport, SlotDecision, SlotRequest, StreamVersion,
+        UpstreamLoad, UpstreamNotice, UsageReport,
     },
     std::{
         cell::{Cell, RefCell},
@@ -184,6 +185,21 @@
         Ok(())
     }
 
+    /// Reports at which software versions streams began. A node of an older build does not take such reports.
+    ///
+    /// # Errors
+    /// When the node can't be reached or the connection breaks.
+    pub async fn report_streams(&self, streams: &[StreamVersion]) -> Result<(), PeerError> {
+        let client = self.client().await?;
+        let mut request = client.streams_began_request();
+        let groups = group_by_version(streams);
+        encode_streams(&groups, request.get().init_versions(groups.len() as u32));
+        match request.send().promise.await {
+            Err(error) if error.kind == capnp::ErrorKind::Unimplemented => Ok(()),
+            result => self.record_response(result).map(|_| ()),
+        }
+    }
+
     /// Fetches one piece of the changes that this node lacks of a list.
     ///
     /// # Errors
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -11,12 +11,14 @@
         },
         notice_codec::decode_notices,
         peer_capnp::peer,
+        stream_codec::decode_streams,
         tunnel::PREAMBLE,
     },
     capnp::capability::Promise,
     capnp_rpc::{RpcSystem, new_client, pry, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     dragonflystep_dispatch::{
-        ActiveRun, RunReport, SlotDecision, SlotRequest, UpstreamLoad, UpstreamNotice, UsageReport,
+        ActiveRun, RunReport, SlotDecision, SlotRequest, StreamVersion, UpstreamLoad,
+        UpstreamNotice, UsageReport,
     },
     futures::io::{BufReader, BufWriter},
     std::{
@@ -52,6 +54,9 @@
     /// Takes the notices of upstreams about themselves that the calling node knows of.
     fn share_notices(&self, notices: Vec<UpstreamNotice>);
 
+    /// Takes reports of the software versions at which streams began.
+    fn report_streams(&self, streams: Vec<StreamVersion>);
+
     /// Returns one piece of the changes that the calling node lacks of a list.
     fn fetch_list_piece(&self, request: ListPieceRequest) -> ListPiece;
 
@@ -198,6 +203,18 @@
         Promise::ok(())
     }
 
+    fn streams_began(
+        &mut self,
+        params: peer::StreamsBeganParams,
+        _: peer::StreamsBeganResults,
+    ) -> Promise<(), capnp::Error> {
+        let messages = pry!(pry!(params.get()).get_versions());
+        let streams = decode_streams(messages);
+        self.handler
+            .report_streams(pry!(streams.map_err(|error| to_rpc_error(&error))));
+        Promise::ok(())
+    }
+
     fn list_since(
         &mut self,
         params: peer::ListSinceParams,
--- a/crates/dragonflystep_peer/tests/tunnel.rs
+++ b/crates/dragonflystep_peer/tests/tunnel.rs
@@ -2,7 +2,7 @@
 
 use {
     dragonflystep_dispatch::{
-        ActiveRun, RunReport, SlotRequest, UpstreamLoad, UpstreamNotice, UsageReport,
+        ActiveRun, RunReport, SlotRequest, StreamVersion, UpstreamLoad, UpstreamNotice, UsageReport,
     },
     dragonflystep_peer::{
         Digest, ListPiece, ListPieceRequest, Network, PeerHandler, RequestedTunnel,
@@ -55,6 +55,8 @@
 
     fn report_load(&self, _: UpstreamLoad) {}
 
+    fn report_streams(&self, _: Vec<StreamVersion>) {}
+
     fn share_notices(&self, _: Vec<UpstreamNotice>) {}
 
     fn fetch_list_piece(&self, _: ListPieceRequest) -> ListPiece {
