--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -100,13 +100,7 @@
     pub(crate) async fn run(self: Rc<Self>) -> Response<AnswerBody> {
         let mut attempts = Attempts::default();
         let mut server_error = None;
-        if let Some(last_event_id) = &self.facts.last_event_id
-            && self.is_resumed()
-        {
-            let resumes = self.facts.resumes.as_deref().unwrap_or("");
-            log::info!(request:% = self.facts.request_id, route:% = self.route.name, resumes, last_event_id:%; "a caller resumes a stream");
-            self.node.metrics.count("streams_resumed_total", "caller");
-        }
+        self.log_resume(&attempts);
         let response = loop {
             let slot = match attempts.request_slot(&self).await {
                 Ok(slot) => slot,
@@ -225,6 +219,19 @@
         })
     }
 
+    /// Logs what the caller resumes, with the software version that began it if this node knows it.
+    fn log_resume(&self, attempts: &Attempts) {
+        let Some(stream) = self.stream_try(attempts).filter(|_| self.is_resumed()) else {
+            return;
+        };
+        let version = self.node.owner.stream_version(stream.id);
+        let version = version.as_deref().unwrap_or("");
+        let resumes = self.facts.resumes.as_deref().unwrap_or("");
+        let last_event_id = self.facts.last_event_id.as_deref().unwrap_or("");
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, resumes, last_event_id, version; "a caller resumes a stream");
+        self.node.metrics.count("streams_resumed_total", "caller");
+    }
+
     /// Whether the caller continues a stream of which it has received events.
     fn is_resumed(&self) -> bool {
         let last_event_id = self.facts.last_event_id.as_ref();
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -408,6 +408,7 @@
             let upstream = attempts.last_upstream();
             let version = relay.slot.version();
             log::info!(request:% = job.facts.request_id, sent = attempts.sent, upstream, version:%; "stream continues at another upstream");
+            job.node.metrics.count("streams_resumed_total", "node");
             return Some(*relay);
         }
     }
