Recognize the stream of a caller that does not name it by its request

A caller that resumes without naming the request that began the stream sends the same path, key and body. The owner records a stream by that fingerprint too, so that such a resume goes on at its version while versions are mixed, in place of a refusal.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -451,10 +451,10 @@
                 | RunOutcome::Withheld
                 | RunOutcome::Cancelled => {}
             }
-            if report.outcome == RunOutcome::Completed
-                && let Some(stream) = &finished.request.stream
-            {
-                self.streams.note_completed(now, stream.id);
+            if report.outcome == RunOutcome::Completed {
+                for stream in finished.request.stream_ids() {
+                    self.streams.note_completed(now, stream);
+                }
             }
             if !report.outcome.may_have_run()
                 && let Some(account) = &finished.request.account
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -128,6 +128,31 @@
         }
     }
 
+    /// The ids under which the stream of the request is known: its own, and the fingerprint, by which a caller resumes it that
+    /// does not name the request that began it. None if it can't be resumed.
+    ///
+    /// # Examples
+    /// ```
+    /// use dragonflystep_dispatch::{SlotRequest, StreamProgress, StreamTry, WorkSize};
+    /// use std::time::Duration;
+    ///
+    /// let stream = StreamTry {
+    ///     id: 3, caller_time_left: Duration::from_secs(4), progress: StreamProgress::New,
+    /// };
+    /// let request = SlotRequest {
+    ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
+    ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
+    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9,
+    ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream),
+    /// };
+    /// assert_eq!(request.stream_ids().collect::<Vec<_>>(), [3, 9]);
+    /// ```
+    pub fn stream_ids(&self) -> impl Iterator<Item = StreamId> + use<> {
+        let stream = self.stream.as_ref();
+        let ids = stream.map(|stream| [stream.id, self.fingerprint]);
+        ids.into_iter().flatten()
+    }
+
     /// The software version that an upstream must have to run the request; absent if all may run it, or if the request
     /// resumes a stream whose version is not known.
     ///
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -149,11 +149,12 @@
     ) {
         let upstream = &mut self.upstreams[index];
         if let Some(stream) = &request.stream {
-            self.granted_streams.push(StreamVersion {
-                stream: stream.id,
+            let versions = request.stream_ids().map(|id| StreamVersion {
+                stream: id,
                 version: upstream.entry.version.clone(),
                 lifetime: stream.caller_time_left,
             });
+            self.granted_streams.extend(versions);
         }
         upstream.prefix_cache.read(at, &request.size.segments);
         let run = Run {
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -199,8 +199,11 @@
         };
         let facts = &self.facts;
         // A caller that received no event begins a new stream, whatever it names.
-        let resumed = facts.resumes.as_ref().filter(|_| self.is_resumed());
-        let id = stream_id(self.account_name(), resumed.unwrap_or(&facts.request_id));
+        let id = match (self.is_resumed(), &facts.resumes) {
+            (true, None) => self.fingerprint,
+            (true, Some(first)) => stream_id(self.account_name(), first),
+            (false, _) => stream_id(self.account_name(), &facts.request_id),
+        };
         let owner = &self.node.owner;
         let progress = if attempts.stream_version.is_some() || self.is_resumed() {
             let known = attempts.stream_version.clone();
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -259,7 +259,9 @@
         grant,
     };
     if let Some(stream) = &request.stream {
-        node.record_stream(stream.id, slot.version(), stream.caller_time_left);
+        for id in request.stream_ids() {
+            node.record_stream(id, slot.version(), stream.caller_time_left);
+        }
     }
     let run = EntryRun {
         upstream: slot.grant.upstream.clone(),
