Explain all tries of a stream, and split what is known of streams into files of their own

explain prints the lines of all tries of the stream that a request began or resumed. No decision has changed.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -1,20 +1,16 @@
 //! The state machine of a service's owner: it takes events and returns decisions for the entry nodes.
 
+mod streams;
+
 use {
     crate::{
         catalogue::Catalogue,
         crash_suspects::CrashSuspects,
         event::{Effect, Event, SharedLimits},
-        ids::{
-            DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, StreamId,
-            UpstreamId, UpstreamVersion,
-        },
-        limits::{
-            OVERLAP_RATE_SHARE, OWNER_OVERLAP, STREAM_SWEEP_INTERVAL, UNKNOWN_STREAM_RETRY_AFTER,
-        },
+        ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
+        limits::{OVERLAP_RATE_SHARE, OWNER_OVERLAP},
         messages::{
             BackOff, Refusal, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest,
-            StreamProgress, StreamTry,
         },
         notices::{UpstreamNotice, UpstreamNotices},
         ownership::partition_limit_share,
@@ -23,7 +19,7 @@
         refusal::refuse,
         retry_budget::RetryLimits,
         rollout::{RolloutRules, RolloutStep},
-        stream_versions::{StreamVersion, StreamVersions},
+        stream_versions::StreamVersions,
         upstream::Upstream,
         warm_up::WarmUpRules,
     },
@@ -225,79 +221,6 @@
         effects
     }
 
-    /// Records the streams for which slots were granted.
-    fn record_granted_streams(&mut self, now: MonotonicTime) {
-        for pool in self.pools.values_mut() {
-            for stream in pool.take_granted_streams() {
-                self.streams.record_granted(now, stream);
-            }
-        }
-        if !self.shares_streams {
-            self.streams.clear_changed();
-        }
-    }
-
-    fn sweep_streams(&mut self, now: MonotonicTime) {
-        if now < self.streams_swept_at + STREAM_SWEEP_INTERVAL {
-            return;
-        }
-        self.streams_swept_at = now;
-        self.streams.expire(now);
-        self.update_stream_sharing(now);
-    }
-
-    fn update_stream_sharing(&mut self, now: MonotonicTime) {
-        let mut pools = self.pools.values();
-        let shares_streams = pools.any(|pool| pool.has_several_versions(now));
-        if shares_streams && !self.shares_streams {
-            // Nobody has copies of the streams that began before.
-            self.streams.mark_granted_changed();
-        }
-        self.shares_streams = shares_streams;
-    }
-
-    /// Returns the software version at which a stream began, if this node knows it.
-    pub fn stream_version(&self, now: MonotonicTime, stream: StreamId) -> Option<&UpstreamVersion> {
-        self.streams.version(now, stream)
-    }
-
-    /// Whether streams of a service that callers may still resume may have begun at several software versions.
-    pub fn has_several_versions(&self, now: MonotonicTime, service: &str) -> bool {
-        let pool = self.pools.get(service);
-        pool.is_some_and(|pool| pool.has_several_versions(now))
-    }
-
-    /// Whether streams of some service may have begun at several software versions, so that other nodes need copies of what
-    /// this one knows.
-    pub fn shares_streams(&self) -> bool {
-        self.shares_streams
-    }
-
-    /// Whether slots were granted to streams that [`take_granted_streams`](Self::take_granted_streams) has not returned yet.
-    pub fn has_granted_streams(&self) -> bool {
-        self.streams.has_changed()
-    }
-
-    /// Returns the streams for which slots were granted since the last call; none while each service has one version.
-    pub fn take_granted_streams(&mut self, now: MonotonicTime) -> Vec<StreamVersion> {
-        self.streams.take_changed(now)
-    }
-
-    /// Returns all streams that may still be resumed and whose software versions this node knows.
-    pub fn streams(&self, now: MonotonicTime) -> Vec<StreamVersion> {
-        self.streams.all(now)
-    }
-
-    /// Returns the streams among them whose requests this node received from their callers.
-    pub fn own_streams(&self, now: MonotonicTime) -> Vec<StreamVersion> {
-        self.streams.own(now)
-    }
-
-    /// Returns the number of streams whose software versions this node knows.
-    pub fn stream_count(&self) -> usize {
-        self.streams.len()
-    }
-
     /// Refunds the quota units of requests that were refused after waiting, since they did not run.
     fn refund_refused_waiting(&mut self) {
         for pool in self.pools.values_mut() {
@@ -481,43 +404,6 @@
         }
     }
 
-    /// Binds a request that resumes a stream to the software version that began it.
-    ///
-    /// # Errors
-    /// When that version is not known.
-    fn bind_to_version(
-        &self,
-        now: MonotonicTime,
-        request: &mut SlotRequest,
-    ) -> Result<(), Refusal> {
-        let Some(StreamTry {
-            id,
-            progress:
-                StreamProgress::Resumed {
-                    version,
-                    saw_several_versions,
-                },
-            ..
-        }) = &mut request.stream
-        else {
-            return Ok(());
-        };
-        if version.is_none() {
-            let pool = self.pools.get(&request.service);
-            let is_certain = self.is_registry_fresh && !*saw_several_versions;
-            let only = pool.filter(|_| is_certain);
-            let only = only.and_then(|pool| pool.only_version(now));
-            *version = self.streams.version(now, *id).or(only).cloned();
-        }
-        if version.is_none() {
-            return Err(refuse(
-                RefusalReason::StreamVersionUnknown,
-                UNKNOWN_STREAM_RETRY_AFTER,
-            ));
-        }
-        Ok(())
-    }
-
     /// Returns the share of the upstreams' rate limits that this owner may use.
     ///
     /// A node that most nodes have not called recently decides only for itself, even if it sees most of them. Many such
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -12,22 +12,19 @@
         burn::{FAILED, IN_TIME, LATE, REFUSED},
         dialect::{AnswerFacts, RequestFacts, UpstreamFacts},
         held_bytes::Hold,
-        limits::{
-            DEFAULT_TIME_LEFT, LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS, OTHER_NODE_RETRY_AFTER,
-        },
+        limits::{LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS, OTHER_NODE_RETRY_AFTER},
         local_reply::LocalReply,
         node::Node,
         relay::{Relay, buffer_answer},
         slots::{RunStats, Slot},
         stop::OpenRequest,
-        stream_versions::stream_id,
         upstream_connections::{OpenConnection, SendError},
         upstream_health::confirm_upstream,
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
         Account, DataCentreName, Refusal, Route, RouteKind, RunOutcome, ServiceName, SlotRequest,
-        StreamProgress, StreamTry, Tier, UpstreamId,
+        Tier, UpstreamId,
     },
     http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header},
     http_body_util::{BodyExt, Full},
@@ -100,7 +97,7 @@
     pub(crate) async fn run(self: Rc<Self>) -> Response<AnswerBody> {
         let mut attempts = Attempts::default();
         let mut server_error = None;
-        self.log_resume(&attempts);
+        self.log_resume();
         let response = loop {
             let slot = match attempts.request_slot(&self).await {
                 Ok(slot) => slot,
@@ -189,58 +186,6 @@
         }
     }
 
-    /// What the next attempt does with its stream; none if the stream may not be resumed.
-    fn stream_try(&self, attempts: &Attempts) -> Option<StreamTry> {
-        let RouteKind::Stream {
-            is_resumable: true, ..
-        } = self.route.kind
-        else {
-            return None;
-        };
-        let facts = &self.facts;
-        // A caller that received no event begins a new stream, whatever it names.
-        let id = match (self.is_resumed(), &facts.resumes) {
-            (true, None) => self.fingerprint,
-            (true, Some(first)) => stream_id(self.account_name(), first),
-            (false, _) => stream_id(self.account_name(), &facts.request_id),
-        };
-        let owner = &self.node.owner;
-        let progress = if attempts.stream_version.is_some() || self.is_resumed() {
-            let known = attempts.stream_version.clone();
-            StreamProgress::Resumed {
-                version: known.or_else(|| owner.stream_version(id)),
-                saw_several_versions: owner.has_several_versions(&self.service),
-            }
-        } else {
-            StreamProgress::New
-        };
-        let caller_waits = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
-        Some(StreamTry {
-            id,
-            caller_time_left: caller_waits.saturating_sub(self.arrived.elapsed()),
-            progress,
-        })
-    }
-
-    /// Logs what the caller resumes, with the software version that began it if this node knows it.
-    fn log_resume(&self, attempts: &Attempts) {
-        let Some(stream) = self.stream_try(attempts).filter(|_| self.is_resumed()) else {
-            return;
-        };
-        let version = self.node.owner.stream_version(stream.id);
-        let version = version.as_deref().unwrap_or("");
-        let resumes = self.facts.resumes.as_deref().unwrap_or("");
-        let last_event_id = self.facts.last_event_id.as_deref().unwrap_or("");
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, resumes, last_event_id, version; "a caller resumes a stream");
-        self.node.metrics.count("streams_resumed_total", "caller");
-    }
-
-    /// Whether the caller continues a stream of which it has received events.
-    fn is_resumed(&self) -> bool {
-        let last_event_id = self.facts.last_event_id.as_ref();
-        last_event_id.is_some_and(|id| !id.is_empty())
-    }
-
     /// Sends the request to the upstream of its slot.
     ///
     /// A non-idempotent request is sent by a task of its own, so that it is not cancelled when its caller disconnects.
@@ -439,7 +384,7 @@
     }
 
     /// The name of the account for log records; empty without an account.
-    fn account_name(&self) -> &str {
+    pub(crate) fn account_name(&self) -> &str {
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -4,11 +4,12 @@
     super::{Failure, output},
     argh::FromArgs,
     serde_json::Value,
-    std::path::PathBuf,
+    std::{collections::BTreeSet, path::PathBuf},
 };
 
 /// Prints the log lines of one request from several nodes, sorted by time. Before them it prints the latest changes
-/// in what each of these nodes knew about the system when the request arrived.
+/// in what each of these nodes knew about the system when the request arrived. If the request began or resumed a stream,
+/// the lines of all tries of that stream are printed.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainCommand {
@@ -87,11 +88,31 @@
     Some((topic, ""))
 }
 
+/// Returns the ids of all tries of the stream that the request began or resumed; only its own id if there are no others.
+fn tries_of_stream<'a>(request: &'a str, lines: &'a [Value]) -> BTreeSet<&'a str> {
+    let resumes = lines.iter().filter_map(|line| {
+        let first = line["resumes"].as_str().filter(|first| !first.is_empty())?;
+        Some((line["request"].as_str()?, first))
+    });
+    let resumes: Vec<_> = resumes.collect();
+    // Each try names the one that began the stream.
+    let named = resumes.iter().find(|(id, _)| *id == request);
+    let first = named.map_or(request, |(_, first)| first);
+    let others = resumes.iter().filter(|(_, named)| *named == first);
+    let others = others.map(|(id, _)| *id);
+    others.chain([first, request]).collect()
+}
+
 /// Returns the lines of the request, preceded by state changes logged before the first of these lines: the latest one
 /// for each subject and each node that handled the request.
 fn explain(request: &str, mut lines: Vec<Value>) -> Vec<Value> {
     lines.sort_by_key(time_ms);
-    let of_request = |line: &Value| line["request"].as_str() == Some(request);
+    let tries = tries_of_stream(request, &lines);
+    let of_request = |line: &Value| {
+        line["request"]
+            .as_str()
+            .is_some_and(|id| tries.contains(id))
+    };
     let Some(first) = lines.iter().position(of_request) else {
         return Vec::new();
     };
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -97,3 +97,31 @@
     assert!(!second.contains("reaches no upstream"), "{second}");
     assert!(second.contains("directly again"), "{second}");
 }
+
+#[test]
+fn the_tries_of_a_resumed_stream_are_printed_together() {
+    let first = concat!(
+        r#"{"time_ms":1,"node":"a","message":"a stream broke off","request":"r1"}"#,
+        "\n",
+        r#"{"time_ms":2,"node":"a","message":"stream ended","request":"r9"}"#,
+        "\n",
+    );
+    let second = concat!(
+        r#"{"time_ms":3,"node":"b","message":"a caller resumes a stream","request":"r2","resumes":"r1"}"#,
+        "\n",
+        r#"{"time_ms":5,"node":"b","message":"a caller resumes a stream","request":"r3","resumes":"r1"}"#,
+        "\n",
+        r#"{"time_ms":6,"node":"b","message":"stream ended","request":"r3"}"#,
+        "\n",
+        r#"{"time_ms":7,"node":"b","message":"a caller resumes a stream","request":"r4","resumes":""}"#,
+        "\n",
+    );
+    for request in ["r1", "r2", "r3"] {
+        let (_, stdout) = explain(request, &[("a.log", first), ("b.log", second)]);
+        let lines: Vec<&str> = stdout.lines().collect();
+        assert_eq!(lines.len(), 4, "{request}: {stdout}");
+        assert!(lines[0].contains("broke off") && lines[3].contains("stream ended"));
+    }
+    let (_, stdout) = explain("r4", &[("b.log", second)]);
+    assert_eq!(stdout.lines().count(), 1, "{stdout}");
+}
