--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -107,8 +107,9 @@
     /// Start of the current period in which the platform answered some node without a gap, as far as this
     /// node has learned.
     platform_up_since: Cell<MonotonicTime>,
-    /// The nodes that got copies of what this node knows of streams, and whether it was the owner then.
-    pub(crate) stream_keepers: RefCell<Vec<NodeName>>,
+    /// The nodes that were to have copies of what this node knows of streams when that was last checked.
+    pub(crate) last_stream_keepers: RefCell<Vec<NodeName>>,
+    /// Whether this node was the owner then.
     pub(crate) was_owner: Cell<bool>,
     /// The owner that this node used last; absent before the first request.
     last_owner: RefCell<Option<NodeName>>,
@@ -157,7 +158,7 @@
             platform_answered_at: Cell::new(Duration::ZERO),
             platform_heard_at: Cell::new(Duration::ZERO),
             platform_up_since: Cell::new(Duration::ZERO),
-            stream_keepers: RefCell::default(),
+            last_stream_keepers: RefCell::default(),
             was_owner: Cell::new(false),
             last_owner: RefCell::default(),
             network,
--- a/crates/dragonflystep_edge/src/stream_versions.rs
+++ b/crates/dragonflystep_edge/src/stream_versions.rs
@@ -50,7 +50,7 @@
         let is_owner = self.is_current_owner();
         let was_owner = self.was_owner.replace(is_owner);
         let keepers = self.stream_keepers();
-        let before = self.stream_keepers.replace(keepers.clone());
+        let before = self.last_stream_keepers.replace(keepers.clone());
         if !self.owner.shares_streams() || !(is_owner || was_owner) {
             return;
         }
