--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -87,8 +87,8 @@
 /// Maximum number of owners from which a slot is requested over the network before the node decides by itself.
 pub(crate) const MAX_OWNERS_ASKED: usize = 3;
 
-/// Number of nodes that get copies of what the owner knows of streams. A blow that ends the owner, all of them and the entry
-/// node of a stream is rare.
+/// Number of nodes that get copies of what the owner knows of streams. The owner, all of them and the entry node of a stream
+/// rarely fail at once.
 pub(crate) const STREAM_COPIES: usize = 3;
 
 /// Time for which the owner collects streams before it sends copies. Shorter than the usual time to the first event, before
