Log the prompt segments of runs that break off

A crash of an upstream breaks all runs on board. Which of them had the part that caused it could not be told from the log: neither the segments of a prompt nor how far a plain call or a stream without a head had come were in it. The lines of broken runs name the segments that other requests may share; broken_runs_total counts them by whether an event had arrived. No decision changes.

--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -250,7 +250,8 @@
                 return DispatchOutcome::NotRun(NO_PATH);
             }
             Ok(Err(SendError::Broken { error, forwarder })) => {
-                log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, error:%; "upstream broke off");
+                log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, segments:% = self.shared_segments(), error:%; "upstream broke off");
+                self.count_broken_run(0);
                 // A break of the path says nothing about the upstream, nor about the request.
                 let is_break_of_path = self.node.is_break_of_path(&address, forwarder.as_ref());
                 let outcome = if is_break_of_path.await {
@@ -388,6 +389,25 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
+    /// The ids of the prompt segments that other requests may share, for log records. The last segment belongs to the
+    /// request itself.
+    pub(crate) fn shared_segments(&self) -> String {
+        let segments = self.facts.size.segments.split_last();
+        let shared = segments.map_or(&[][..], |(_, shared)| shared);
+        let ids = shared.iter().map(|segment| format!("{:x}", segment.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+
+    /// Counts a run that broke off after `events` events of its answer.
+    pub(crate) fn count_broken_run(&self, events: u32) {
+        let progress = if events == 0 {
+            "no_event"
+        } else {
+            "some_events"
+        };
+        self.node.metrics.count("broken_runs_total", progress);
+    }
+
     /// Counts how the request ended, for the burn report.
     pub(crate) fn count_end(&self, counter: &'static str) {
         self.node.metrics.count(counter, &self.route.name);
