--- a/benches/benches/placing.rs
+++ b/benches/benches/placing.rs
@@ -82,6 +82,7 @@
         previous_attempts: 0,
         excluded_upstreams: Vec::new(),
         fingerprint: run,
+        shared_content: Vec::new(),
         data_centre: "a".into(),
         allowed_data_centres: None,
         stream: None,
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -1,11 +1,12 @@
 //! The state machine of a service's owner: it takes events and returns decisions for the entry nodes.
 
+mod content;
 mod streams;
 
 use {
     crate::{
         catalogue::Catalogue,
-        crash_suspects::CrashSuspects,
+        crash_log::{CrashLog, Verdicts},
         event::{Effect, Event, SharedLimits},
         ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
         limits::{OVERLAP_RATE_SHARE, OWNER_OVERLAP},
@@ -16,7 +17,7 @@
         ownership::partition_limit_share,
         pool::{PoolSummary, ServicePool},
         quota::Quotas,
-        refusal::refuse,
+        refusal::{crashing_content, refuse},
         retry_budget::RetryLimits,
         rollout::{RolloutRules, RolloutStep},
         stream_versions::StreamVersions,
@@ -25,10 +26,13 @@
     },
     std::{
         collections::{BTreeSet, HashMap, HashSet},
+        rc::Rc,
         time::Duration,
     },
 };
 
+pub use self::content::ContentChange;
+
 /// Makes the scheduling decisions of one node, for all services that it owns.
 ///
 /// # Examples
@@ -59,7 +63,14 @@
     quota_share: f64,
     pools: HashMap<ServiceName, ServicePool>,
     quotas: Quotas,
-    crash_suspects: CrashSuspects,
+    crash_log: CrashLog,
+    /// What the crashes said of content when that was last concluded.
+    verdicts: Rc<Verdicts>,
+    /// When that was, and whether more was learned since.
+    concluded_at: MonotonicTime,
+    has_new_evidence: bool,
+    /// Changes of what is refused for its content, to be logged.
+    content_changes: Vec<ContentChange>,
     rollout_rules: RolloutRules,
     warm_up_rules: WarmUpRules,
     /// Data centres whose upstreams get no requests.
@@ -88,7 +99,11 @@
             quota_share: 1.0,
             pools: HashMap::new(),
             quotas: Quotas::new(limits.quota),
-            crash_suspects: CrashSuspects::default(),
+            crash_log: CrashLog::default(),
+            verdicts: Rc::default(),
+            concluded_at: Duration::ZERO,
+            has_new_evidence: false,
+            content_changes: Vec::new(),
             rollout_rules: limits.rollout,
             warm_up_rules: limits.warm_up,
             evacuated: BTreeSet::new(),
@@ -176,6 +191,11 @@
                     self.streams.record_reported(now, stream);
                 }
             }
+            Event::CrashesObserved(evidence) => {
+                self.has_new_evidence |= self.crash_log.merge(now, &evidence);
+                self.conclude_from_crashes(now, &mut effects);
+                self.place_all_waiting(now, &mut effects);
+            }
             Event::StreamBegan(stream) => self.streams.record_own(now, stream),
             Event::LoadObserved(load) => {
                 if let Some(pool) = self.pools.get_mut(&load.service) {
@@ -207,6 +227,7 @@
                 {
                     self.apply_rate_limit_share(now);
                 }
+                self.conclude_from_crashes(now, &mut effects);
                 for pool in self.pools.values_mut() {
                     pool.end_warm_ups(now);
                     self.rollout_steps.extend(pool.advance_rollout(now));
@@ -290,6 +311,7 @@
         mut request: SlotRequest,
         effects: &mut Vec<Effect>,
     ) {
+        self.conclude_from_crashes(now, effects);
         let bound = self.bind_to_version(now, &mut request);
         let refusal = bound.err().or_else(|| self.refuse_by_limits(now, &request));
         if let Some(refusal) = refusal {
@@ -317,8 +339,8 @@
     }
 
     fn refuse_by_limits(&mut self, now: MonotonicTime, request: &SlotRequest) -> Option<Refusal> {
-        if self.crash_suspects.is_refused(now, request.fingerprint) {
-            return Some(refuse(RefusalReason::CrashSuspect, Duration::MAX));
+        if self.verdicts.refuses(now, request) {
+            return Some(crashing_content());
         }
         let limits = self.retry_limits;
         let pool = self.pools.entry(request.service.clone()).or_default();
@@ -362,18 +384,7 @@
         let finished = pool.finish_run(now, report);
         self.back_offs.extend(pool.take_back_offs());
         if let Some(finished) = finished {
-            match report.outcome {
-                RunOutcome::Broken => self.crash_suspects.record_crash(now, finished.fingerprint),
-                RunOutcome::Completed => {
-                    self.crash_suspects.record_completion(finished.fingerprint)
-                }
-                RunOutcome::Failed
-                | RunOutcome::Rejected
-                | RunOutcome::Misdirected
-                | RunOutcome::Unreachable
-                | RunOutcome::Withheld
-                | RunOutcome::Cancelled => {}
-            }
+            self.learn_content(now, report, &finished);
             if report.outcome == RunOutcome::Completed {
                 for stream in finished.request.stream_ids() {
                     self.streams.note_completed(now, stream);
@@ -386,7 +397,12 @@
                     .refund(account, f64::from(finished.request.quota_units));
             }
         }
-        pool.place_waiting(now, effects);
+        if self.has_new_evidence {
+            self.conclude_from_crashes(now, effects);
+        }
+        if let Some(pool) = self.pools.get_mut(&report.service) {
+            pool.place_waiting(now, effects);
+        }
     }
 
     fn handle_notice(
--- a/crates/dragonflystep_dispatch/src/event.rs
+++ b/crates/dragonflystep_dispatch/src/event.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         catalogue::Catalogue,
+        crash_log::CrashEvidence,
         ids::{DataCentreName, RunId, ServiceName},
         messages::{ActiveRun, RunReport, SlotDecision, SlotRequest, UpstreamLoad},
         notices::UpstreamNotice,
@@ -80,6 +81,8 @@
     StreamsReported(Vec<StreamVersion>),
     /// This node, as the entry node, was granted a slot for a stream at this software version.
     StreamBegan(StreamVersion),
+    /// This node or another one observed crashes of upstreams, or content that is sound.
+    CrashesObserved(CrashEvidence),
     /// An upstream reported its load.
     LoadObserved(UpstreamLoad),
     /// An upstream stated something about itself in an answer.
--- a/crates/dragonflystep_dispatch/src/ids.rs
+++ b/crates/dragonflystep_dispatch/src/ids.rs
@@ -41,6 +41,9 @@
 /// Hash of a request's account, path and content; recognizes a request that comes again under another id.
 pub type RequestFingerprint = u64;
 
+/// Identifies content that may crash upstreams: a hash of a prompt segment's id, or the fingerprint of a whole request.
+pub type ContentKey = u64;
+
 /// Identifies a stream over all tries of its caller: a hash of its account and of the request that began it.
 pub type StreamId = u64;
 
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -9,7 +9,7 @@
 //! tests and in replays of recorded load.
 
 mod catalogue;
-mod crash_suspects;
+mod crash_log;
 mod dispatcher;
 mod event;
 mod ids;
@@ -41,13 +41,15 @@
         Account, AccountQuota, Catalogue, ClientLimits, Engine, QuotaUnit, Route, RouteKind,
         Service, Target, WarmUp,
     },
-    dispatcher::Dispatcher,
+    crash_log::{CrashEvidence, SoundContent, UpstreamCrash},
+    dispatcher::{ContentChange, Dispatcher},
     event::{Effect, Event, SharedLimits},
     ids::{
-        AccountName, DataCentreName, MonotonicTime, NodeIncarnation, NodeName, PromptSegmentId,
-        RegionName, RequestFingerprint, RouteName, RunId, ServiceName, StreamId, Tier, UpstreamId,
-        UpstreamVersion, node_incarnation_of, run_id,
+        AccountName, ContentKey, DataCentreName, MonotonicTime, NodeIncarnation, NodeName,
+        PromptSegmentId, RegionName, RequestFingerprint, RouteName, RunId, ServiceName, StreamId,
+        Tier, UpstreamId, UpstreamVersion, node_incarnation_of, run_id,
     },
+    limits::SOUND_EVENTS,
     messages::{
         ActiveRun, BackOff, Grant, PromptSegment, Refusal, RefusalReason, RunOutcome, RunReport,
         SlotDecision, SlotRequest, StreamProgress, StreamTry, UpstreamLoad, WorkSize,
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -93,14 +93,69 @@
 /// Smallest share of the slots that is assumed to be available to a tier when its waiting time is estimated.
 pub(crate) const MIN_CAPACITY_SHARE: f64 = 0.05;
 
-/// Number of times that a request may break the upstream that runs it before it is refused.
-pub(crate) const CRASHES_BEFORE_REFUSAL: u32 = 3;
+/// Number of crashes after which a whole request is refused.
+pub(crate) const REQUEST_CRASHES: usize = 3;
 
-/// How long a request that broke upstreams is remembered.
-pub(crate) const CRASH_MEMORY: Duration = Duration::from_secs(120);
+/// Number of crashes after which a prompt segment may be refused.
+pub(crate) const CONTENT_CRASHES: usize = 4;
 
-/// Number of remembered requests that broke an upstream at which expired ones are dropped.
-pub(crate) const MAX_CRASH_SUSPECTS: usize = 4096;
+/// Number of crashes from which requests with suspected content are sent one at a time.
+pub(crate) const CRASHES_BEFORE_CARE: usize = 2;
+
+/// Evidence from which content is refused, as the natural logarithm: a probability of 1 in 100 that it was on board of the
+/// crashes by chance.
+pub(crate) const CONTENT_PROOF: f64 = 4.6;
+
+/// Time after a crash until the owner takes it as evidence. By then, runs that were about to begin have begun.
+pub(crate) const OWNER_CRASH_SETTLE: Duration = Duration::from_millis(300);
+
+/// The same for a node that is not the owner, which learns by gossip what proved to be sound.
+pub(crate) const OTHER_CRASH_SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Longest time for which a conclusion from the crashes stands while nothing new is learned.
+pub(crate) const CONCLUSION_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Number of whole events after which the content of a run counts as sound. An upstream may have written a first one when
+/// it crashes.
+pub const SOUND_EVENTS: u32 = 2;
+
+/// Breaks of runs at an upstream within this time belong to the same crash; it takes longer to start again.
+pub(crate) const CRASH_MERGE_TIME: Duration = Duration::from_secs(1);
+
+/// Longest time between two crashes of one moment.
+pub(crate) const CRASH_MOMENT: Duration = Duration::from_millis(50);
+
+/// Time before and after a crash within which other crashes of the service make it less telling.
+pub(crate) const SIMULTANEOUS_CRASHES: Duration = Duration::from_millis(150);
+
+/// Time after the last crash from which one request with refused content is let through.
+pub(crate) const FIRST_CONTENT_TRIAL: Duration = Duration::from_secs(60);
+
+/// Longest time until such a trial.
+pub(crate) const MAX_CONTENT_TRIAL: Duration = Duration::from_secs(3_600);
+
+/// Shortest time between the crash of a trial and the crash before it.
+pub(crate) const TRIAL_GAP: Duration = Duration::from_secs(10);
+
+/// Time until the next trial, as a multiple of the time between the last two.
+pub(crate) const TRIAL_GAP_FACTOR: i64 = 8;
+
+/// How long a crash is remembered; longer than the longest time until a trial.
+pub(crate) const CRASH_MEMORY: Duration = Duration::from_secs(7_200);
+
+/// Largest number of remembered crashes, and of suspects of each; about 70 KB.
+pub(crate) const MAX_CRASHES: usize = 64;
+pub(crate) const MAX_SUSPECTS: usize = 64;
+
+/// Largest number of crashes, and of cleared suspects, in one message to another node.
+pub(crate) const MAX_CRASHES_SHARED: usize = 32;
+pub(crate) const MAX_SOUND_SHARED: usize = 64;
+
+/// Time by which a run's first event may be later than predicted before the next request with suspected content is sent.
+pub(crate) const LATE_FIRST_EVENT: Duration = Duration::from_millis(500);
+
+/// Retry-after time stated to the caller of a request with content that crashes upstreams.
+pub(crate) const CRASHING_CONTENT_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// Largest number of refused requests that are remembered; about a megabyte.
 pub(crate) const MAX_REFUSED_REMEMBERED: usize = 16_384;
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         ids::{
-            AccountName, DataCentreName, MonotonicTime, PromptSegmentId, RequestFingerprint,
-            RouteName, RunId, ServiceName, StreamId, Tier, UpstreamId, UpstreamVersion,
+            AccountName, ContentKey, DataCentreName, MonotonicTime, PromptSegmentId,
+            RequestFingerprint, RouteName, RunId, ServiceName, StreamId, Tier, UpstreamId,
+            UpstreamVersion,
         },
         upstream::Upstream,
     },
@@ -85,6 +86,8 @@
     pub excluded_upstreams: Vec<UpstreamId>,
     /// Recognizes the request if it comes again under another id.
     pub fingerprint: RequestFingerprint,
+    /// The prompt segments that other requests may share, as keys that reveal nothing of them.
+    pub shared_content: Vec<ContentKey>,
     /// Data centre of the entry node.
     pub data_centre: DataCentreName,
     /// Data centres whose upstreams may run the request; absent if all may.
@@ -109,7 +112,8 @@
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(5), longest_pause: None,
     ///     size: WorkSize { segments: vec![PromptSegment { id: 7, tokens: 60 }], ..WorkSize::default() },
-    ///     previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, data_centre: "a".into(),
+    ///     previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
+    ///     data_centre: "a".into(),
     ///     allowed_data_centres: Some(vec!["a".into()]), stream: None,
     /// };
     /// request.redact_for(Some(&"a".into()));
@@ -128,6 +132,26 @@
         }
     }
 
+    /// The content because of which the request may crash an upstream: its shared segments and the request itself.
+    ///
+    /// # Examples
+    /// ```
+    /// use dragonflystep_dispatch::{SlotRequest, WorkSize};
+    /// use std::time::Duration;
+    ///
+    /// let request = SlotRequest {
+    ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
+    ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
+    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9,
+    ///     shared_content: vec![4, 5], data_centre: "a".into(), allowed_data_centres: None, stream: None,
+    /// };
+    /// assert_eq!(request.content().collect::<Vec<_>>(), [4, 5, 9]);
+    /// ```
+    pub fn content(&self) -> impl Iterator<Item = ContentKey> + '_ {
+        let shared = self.shared_content.iter().copied();
+        shared.chain([self.fingerprint])
+    }
+
     /// The ids under which the stream of the request is known: its own, and the fingerprint, by which a caller resumes it that
     /// does not name the request that began it. None if it can't be resumed.
     ///
@@ -142,7 +166,7 @@
     /// let request = SlotRequest {
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
-    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9,
+    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
     ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream),
     /// };
     /// assert_eq!(request.stream_ids().collect::<Vec<_>>(), [3, 9]);
@@ -168,7 +192,7 @@
     /// let request = SlotRequest {
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
-    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9,
+    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
     ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream),
     /// };
     /// assert_eq!(request.required_version().map(|version| &**version), Some("v2"));
@@ -203,6 +227,8 @@
     pub address: String,
     /// Version of the upstream's software; empty if it states none, or if the owner does not say.
     pub version: UpstreamVersion,
+    /// Whether the owner waits to hear that the upstream has begun to answer, because the request holds suspected content.
+    pub reports_begin: bool,
 }
 
 /// Why an owner refuses a slot request.
@@ -216,7 +242,7 @@
     RetryBudgetSpent,
     /// No upstream is known that may run the request.
     NoUpstream,
-    /// The request broke several upstreams that ran it.
+    /// The request, or a segment of its prompt, crashed several upstreams.
     CrashSuspect,
     /// The request resumes a stream, and nobody knows at which software version that began.
     StreamVersionUnknown,
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -1,6 +1,7 @@
 //! The state of one service at its owner: its upstreams, its queue, and what was learned from earlier runs.
 
 mod candidates;
+mod crashing;
 mod placing;
 mod refusing;
 mod rolling;
@@ -8,6 +9,7 @@
 mod summary;
 mod warming;
 
+pub(crate) use self::runs::FinishedRun;
 pub use self::summary::{PoolSummary, UpstreamSummary};
 
 use {
@@ -17,6 +19,7 @@
     },
     crate::{
         catalogue::{Engine, WarmUp},
+        crash_log::Verdicts,
         event::Effect,
         ids::{MonotonicTime, RunId, Tier, UpstreamId, UpstreamVersion},
         limits::{DEFAULT_CACHE_TOKENS, MAX_SKIPPED_REQUESTS, UNORDERED_VERSION_HOLD},
@@ -35,6 +38,7 @@
     std::{
         cell::Cell,
         collections::{BTreeMap, HashMap, HashSet},
+        rc::Rc,
         time::Duration,
     },
 };
@@ -84,6 +88,8 @@
     seen_versions: SeenVersions,
     /// Streams for which slots were granted since they were last taken.
     granted_streams: Vec<StreamVersion>,
+    /// What is known of content that crashes upstreams.
+    verdicts: Rc<Verdicts>,
 }
 
 impl ServicePool {
@@ -279,10 +285,12 @@
                     }
                 }
                 Choice::Wait => {
-                    // Requests that need one version don't keep others from being examined.
-                    let is_bound = self.queue.get(index).request.required_version().is_some();
+                    // Requests that need one version, or are sent one at a time, don't keep others from being examined.
+                    let request = &self.queue.get(index).request;
+                    let is_special = request.required_version().is_some()
+                        || !self.verdicts.care_in(request).is_empty();
                     index += 1;
-                    skipped += usize::from(!is_bound);
+                    skipped += usize::from(!is_special);
                 }
             }
         }
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -57,6 +57,9 @@
         free_upstreams: &FreeUpstreams,
     ) -> Choice {
         let objective_left = queued.objective_left(now);
+        if self.awaits_others_with_content(now, &queued.request) {
+            return Choice::Wait;
+        }
         if queued.request.required_version().is_some() {
             let found = choose(
                 now,
@@ -127,6 +130,7 @@
             upstream: entry.id.clone(),
             address: entry.address.clone(),
             version: entry.version.clone(),
+            reports_begin: self.verdicts.suspects(&request),
         };
         let run = request.run;
         self.granted_slots += 1;
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -4,27 +4,18 @@
 use {
     super::ServicePool,
     crate::{
-        ids::{MonotonicTime, RequestFingerprint},
+        ids::{MonotonicTime, UpstreamId},
         limits::MAX_SUSPENDED_SHARE,
         messages::{ActiveRun, BackOff, RunOutcome, RunReport, SlotRequest, UpstreamLoad},
         placement::predict,
-        upstream::Run,
     },
 };
 
-/// A finished run, with what the dispatcher needs for quotas and crash suspects.
+/// A finished run, with what the dispatcher needs for quotas and for what it learns of its content.
 pub(crate) struct FinishedRun {
     pub(crate) request: SlotRequest,
-    pub(crate) fingerprint: RequestFingerprint,
-}
-
-impl From<Run> for FinishedRun {
-    fn from(run: Run) -> Self {
-        Self {
-            fingerprint: run.request.fingerprint,
-            request: run.request,
-        }
-    }
+    /// The upstream and its address; absent if it has left the registry.
+    pub(crate) upstream: Option<(UpstreamId, String)>,
 }
 
 impl ServicePool {
@@ -42,10 +33,11 @@
         report: &RunReport,
     ) -> Option<FinishedRun> {
         let Some(index) = self.run_index.remove(&report.run) else {
-            return self
-                .unlisted_runs
-                .remove(&report.run)
-                .map(FinishedRun::from);
+            let run = self.unlisted_runs.remove(&report.run)?;
+            return Some(FinishedRun {
+                request: run.request,
+                upstream: None,
+            });
         };
         let may_back_off = report.outcome.has_failed() && self.may_back_off(index);
         let upstream = &mut self.upstreams[index];
@@ -89,7 +81,11 @@
                 }
             }
         }
-        Some(run.into())
+        let entry = &self.upstreams[index].entry;
+        Some(FinishedRun {
+            request: run.request,
+            upstream: Some((entry.id.clone(), entry.address.clone())),
+        })
     }
 
     /// Whether the upstream at `index` may be backed off for failed answers. One upstream always may, and otherwise at
--- a/crates/dragonflystep_dispatch/src/refusal.rs
+++ b/crates/dragonflystep_dispatch/src/refusal.rs
@@ -8,8 +8,8 @@
     crate::{
         ids::{MonotonicTime, Tier},
         limits::{
-            ARRIVAL_WINDOW_S, EXTRA_WAIT_OBJECTIVES, MAX_RETRY_AFTER, MAX_RETURNED_WAIT_SHARE,
-            MAX_WAIT_SHARE, MIN_CAPACITY_SHARE, MIN_RETRY_AFTER,
+            ARRIVAL_WINDOW_S, CRASHING_CONTENT_RETRY_AFTER, EXTRA_WAIT_OBJECTIVES, MAX_RETRY_AFTER,
+            MAX_RETURNED_WAIT_SHARE, MAX_WAIT_SHARE, MIN_CAPACITY_SHARE, MIN_RETRY_AFTER,
         },
         messages::{Refusal, RefusalReason, SlotRequest},
     },
@@ -81,6 +81,14 @@
     (on_time + extra).min(request.time_left.mul_f64(MAX_WAIT_SHARE))
 }
 
+/// Builds the refusal of a request with content that crashes upstreams.
+pub(crate) fn crashing_content() -> Refusal {
+    Refusal {
+        reason: RefusalReason::CrashSuspect,
+        retry_after: CRASHING_CONTENT_RETRY_AFTER,
+    }
+}
+
 /// Builds a refusal with a retry-after time of `wait`, limited to the permitted range.
 pub(crate) fn refuse(reason: RefusalReason, wait: Duration) -> Refusal {
     Refusal {
--- a/crates/dragonflystep_dispatch/tests/decisions.rs
+++ b/crates/dragonflystep_dispatch/tests/decisions.rs
@@ -224,12 +224,15 @@
 #[test]
 fn a_request_that_crashed_three_upstreams_is_refused() {
     let mut owner = dispatcher(4, 4);
+    let mut crashed = Vec::new();
     for run in 1..=3 {
         let poison = SlotRequest {
             fingerprint: 77,
+            excluded_upstreams: crashed.clone(),
             ..plain_request(run, 0)
         };
-        granted_upstream(request_slot(&mut owner, START, poison));
+        let upstream = granted_upstream(request_slot(&mut owner, START, poison));
+        crashed.push(upstream.into());
         owner.reduce(START, run_ended(run, RunOutcome::Broken));
     }
     let repeated = SlotRequest {
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -199,6 +199,7 @@
         previous_attempts: 0,
         excluded_upstreams: Vec::new(),
         fingerprint: run,
+        shared_content: Vec::new(),
         data_centre: "a".into(),
         allowed_data_centres: None,
         stream: None,
@@ -355,6 +356,7 @@
             objective_left: ms(spec.objective_ms),
             time_left: ms(request.at_ms + request.caller_timeout_ms - at),
             fingerprint: request.fingerprint,
+            shared_content: Vec::new(),
             longest_pause: Some(ms(spec.max_pause_ms)),
             size: WorkSize {
                 prompt_tokens: request.prompt_tokens as u32,
--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -133,6 +133,9 @@
                 notice.age += now.saturating_sub(called_at);
             }
             node.apply_notices(notices, &peer);
+            let mut crashes = std::mem::take(&mut theirs.crashes);
+            crashes.add_age(now.saturating_sub(called_at));
+            node.apply_evidence(crashes);
             fetch_if_newer(&node, &theirs);
             if node.has_newer_lists_than(&theirs) {
                 push_missing(&node, &peer, &link, &theirs).await;
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -23,8 +23,8 @@
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
-        Account, DataCentreName, Refusal, Route, RouteKind, RunOutcome, ServiceName, SlotRequest,
-        Tier, UpstreamId,
+        Account, ContentKey, DataCentreName, Refusal, Route, RouteKind, RunOutcome, ServiceName,
+        SlotRequest, Tier, UpstreamId,
     },
     http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header},
     http_body_util::{BodyExt, Full},
@@ -41,6 +41,7 @@
 const UNCONFIRMED: &str = "unconfirmed";
 const WITHHELD: &str = "withheld";
 const NO_PATH: &str = "no_path";
+const CRASHING_CONTENT: &str = "breaks_upstreams";
 
 /// A routed request with its whole body, from its arrival until its final answer.
 pub(crate) struct Job {
@@ -59,6 +60,8 @@
     pub(crate) body: Bytes,
     /// Hash of key, path and body, by which a request that comes again under another id is recognized.
     pub(crate) fingerprint: u64,
+    /// Keys of the prompt segments that other requests may share.
+    pub(crate) shared_content: Vec<ContentKey>,
     /// Units that the request takes from the quota of its account; 0 without a quota.
     pub(crate) quota_units: u32,
     pub(crate) tier: Tier,
@@ -87,7 +90,7 @@
     pub(crate) fn is_unsent(&self) -> bool {
         matches!(
             self,
-            Self::NotRun(UNREACHABLE | UNCONFIRMED | WITHHELD | NO_PATH)
+            Self::NotRun(UNREACHABLE | UNCONFIRMED | WITHHELD | NO_PATH | CRASHING_CONTENT)
         )
     }
 }
@@ -180,6 +183,7 @@
             previous_attempts: attempts.sent,
             excluded_upstreams: attempts.upstreams().to_vec(),
             fingerprint: self.fingerprint,
+            shared_content: self.shared_content.clone(),
             data_centre: self.node.settings.data_centre.clone(),
             allowed_data_centres: self.allowed_data_centres.clone(),
             stream: self.stream_try(attempts),
@@ -226,6 +230,11 @@
             slot.return_unused();
             return DispatchOutcome::NotRun(WITHHELD);
         }
+        if slot.holds_crashing_content() {
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "the request holds content that crashes upstreams; its slot is returned");
+            slot.return_unused();
+            return DispatchOutcome::NotRun(CRASHING_CONTENT);
+        }
         if !slot.accepts_requests() {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream wants no request, as this node was told; its place is given back");
             slot.return_unused();
--- a/crates/dragonflystep_edge/src/local_reply.rs
+++ b/crates/dragonflystep_edge/src/local_reply.rs
@@ -49,10 +49,7 @@
             RefusalReason::StreamVersionUnknown => {
                 (StatusCode::SERVICE_UNAVAILABLE, "stream_version_unknown")
             }
-            // A retry might crash the next upstream, so the reply states no time for one.
-            RefusalReason::CrashSuspect => {
-                return Self::new(StatusCode::BAD_GATEWAY, "breaks_upstreams");
-            }
+            RefusalReason::CrashSuspect => (StatusCode::SERVICE_UNAVAILABLE, "breaks_upstreams"),
         };
         Self {
             status,
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -23,6 +23,7 @@
             platform_silence: self.platform_silence(),
             platform_up_for: self.platform_up_for(),
             rollouts: self.encoded_rollouts(),
+            crashes_version: self.owner.crash_evidence_version(),
             ..Digest::default()
         }
     }
@@ -36,6 +37,9 @@
         digest.unavailable = unavailable;
         digest.notices = self.owner.notices();
         digest.evacuations = self.evacuations_for(Some(theirs));
+        if digest.crashes_version != theirs.crashes_version {
+            digest.crashes = self.owner.crash_evidence();
+        }
         let catalogue = self.views.catalogue_list();
         if let Some(changes) =
             catalogue.few_changes_since(theirs.catalogue_version, MAX_PIGGYBACKED)
--- a/crates/dragonflystep_edge/src/node/gauges.rs
+++ b/crates/dragonflystep_edge/src/node/gauges.rs
@@ -6,6 +6,7 @@
     /// Current values of the gauges on the metrics page.
     pub(crate) fn gauges(&self) -> Vec<(&'static str, f64)> {
         let now = self.owner.now();
+        let (refused_content, crashes) = self.owner.crash_counts();
         vec![
             (
                 "platform_silent_s",
@@ -26,6 +27,8 @@
                 "members_visible",
                 self.members.mutually_visible_count(now) as f64,
             ),
+            ("refused_content", refused_content as f64),
+            ("upstream_crashes_known", crashes as f64),
             ("streams_known", self.owner.stream_count() as f64),
             ("runs_of_this_entry", self.entry_runs.count() as f64),
             (
--- a/crates/dragonflystep_edge/src/node/run.rs
+++ b/crates/dragonflystep_edge/src/node/run.rs
@@ -3,6 +3,7 @@
 use {
     super::{Node, NodeError},
     crate::{
+        crash_reports::publish_refused_content,
         dialect::Dialect,
         exchange::{exchange_views, watch_visibility},
         peer_service::serve_peers,
@@ -67,6 +68,7 @@
     spawn_local(watch_visibility(node.clone()));
     spawn_local(close_unused_connections(node.clone()));
     spawn_local(publish_rollouts(node.clone(), platform.clone()));
+    spawn_local(publish_refused_content(node.clone(), platform.clone()));
     spawn_local(platform.clone().follow(node.clone()));
     log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation, is_first_start = node.settings.is_first_start; "node started");
     stop_requested.await?;
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -7,10 +7,10 @@
         rollouts::Rollouts,
     },
     dragonflystep_dispatch::{
-        ActiveRun, Dispatcher, Effect, Event, Grant, MonotonicTime, NodeIncarnation, PoolSummary,
-        RefusalReason, RunId, RunOutcome, RunReport, ServiceName, SharedLimits, SlotDecision,
-        SlotRequest, StreamId, StreamVersion, UpstreamId, UpstreamNotice, UpstreamVersion,
-        Visibility, node_incarnation_of,
+        ActiveRun, ContentChange, ContentKey, CrashEvidence, Dispatcher, Effect, Event, Grant,
+        MonotonicTime, NodeIncarnation, PoolSummary, RefusalReason, RunId, RunOutcome, RunReport,
+        ServiceName, SharedLimits, SlotDecision, SlotRequest, StreamId, StreamVersion, UpstreamId,
+        UpstreamNotice, UpstreamVersion, Visibility, node_incarnation_of,
     },
     std::{
         cell::{Cell, RefCell},
@@ -39,6 +39,8 @@
     /// Wakes the loop that ticks the dispatcher when a slot request has to wait.
     request_queued: Notify,
     rollouts: Rc<Rollouts>,
+    /// Notified when the content changed that this node refuses as the owner.
+    pub(crate) refused_content_changed: Notify,
     /// Notified when slots were granted to streams that other nodes have to know of.
     pub(crate) streams_granted: Notify,
     is_registry_fresh: Cell<bool>,
@@ -60,6 +62,7 @@
             }),
             request_queued: Notify::new(),
             rollouts,
+            refused_content_changed: Notify::new(),
             streams_granted: Notify::new(),
             is_registry_fresh: Cell::new(true),
         }
@@ -86,6 +89,7 @@
         let effects = dispatcher.reduce(self.now(), event);
         let rollout_steps = dispatcher.take_rollout_steps();
         let back_offs = dispatcher.take_back_offs();
+        let content_changes = dispatcher.take_content_changes();
         if dispatcher.has_granted_streams() {
             self.streams_granted.notify_one();
         }
@@ -94,6 +98,12 @@
             let node_start = node_incarnation_of(back_off.run);
             log::info!(upstream:% = back_off.upstream, node_start, outcome = back_off.outcome.name(), back_off_ms = back_off.duration.as_millis() as u64; "upstream is backed off");
         }
+        if !content_changes.is_empty() {
+            self.refused_content_changed.notify_one();
+        }
+        for change in content_changes {
+            log_content_change(&change);
+        }
         self.rollouts.push_steps(rollout_steps);
         for effect in effects {
             self.deliver_decision(effect);
@@ -178,6 +188,38 @@
         self.recent_contacts.get().is_majority()
     }
 
+    /// What other nodes need to know of content that crashes upstreams.
+    pub(crate) fn crash_evidence(&self) -> CrashEvidence {
+        self.dispatcher.borrow().crash_evidence(self.now())
+    }
+
+    /// A number that differs between nodes which know different things of such content.
+    pub(crate) fn crash_evidence_version(&self) -> u64 {
+        self.dispatcher.borrow().crash_evidence_version()
+    }
+
+    /// The crashes of the content that this node refuses as the owner.
+    pub(crate) fn refused_content(&self) -> CrashEvidence {
+        self.dispatcher.borrow().refused_content(self.now())
+    }
+
+    /// Number of contents that this node refuses as the owner, and of crashes that it knows of.
+    pub(crate) fn crash_counts(&self) -> (usize, usize) {
+        let dispatcher = self.dispatcher.borrow();
+        (dispatcher.refused_content_count(), dispatcher.crash_count())
+    }
+
+    /// The content of a request that is suspected of a crash.
+    pub(crate) fn suspected_content(&self, request: &SlotRequest) -> Vec<ContentKey> {
+        self.dispatcher.borrow().suspected_content(request)
+    }
+
+    /// Whether a request holds content that crashes upstreams, by crashes of which all nodes have heard.
+    pub(crate) fn holds_crashing_content(&self, request: &SlotRequest) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.holds_crashing_content(self.now(), request)
+    }
+
     /// Notices by upstreams that other nodes need to know.
     pub(crate) fn notices(&self) -> Vec<UpstreamNotice> {
         self.dispatcher.borrow().notices(self.now())
@@ -326,6 +368,17 @@
     text
 }
 
+fn log_content_change(change: &ContentChange) {
+    let keys = change.content.iter().map(|key| format!("{key:016x}"));
+    let content = keys.collect::<Vec<_>>().join(",");
+    let crashes = change.crashes;
+    if change.is_refused {
+        log::warn!(content, crashes; "requests with content that crashed upstreams are refused");
+    } else {
+        log::info!(content, crashes; "requests with content that crashed upstreams are no longer refused");
+    }
+}
+
 /// The report of a cancelled run. It counts neither for nor against the upstream.
 pub(crate) fn cancelled_report(service: ServiceName, run: RunId) -> RunReport {
     RunReport {
--- a/crates/dragonflystep_edge/src/peer_service.rs
+++ b/crates/dragonflystep_edge/src/peer_service.rs
@@ -6,8 +6,8 @@
         owner::cancelled_report, tunnels::serve_tunnel,
     },
     dragonflystep_dispatch::{
-        ActiveRun, Event, NodeName, RunId, RunReport, ServiceName, SlotDecision, SlotRequest,
-        StreamVersion, UpstreamLoad, UpstreamNotice, UsageReport,
+        ActiveRun, CrashEvidence, Event, NodeName, RunId, RunReport, ServiceName, SlotDecision,
+        SlotRequest, StreamVersion, UpstreamLoad, UpstreamNotice, UsageReport,
     },
     dragonflystep_peer::{
         Digest, ListPiece, ListPieceRequest, NetworkListener, PeerHandler, RequestedTunnel,
@@ -109,6 +109,10 @@
         self.node.apply_notices(notices, &peer);
     }
 
+    fn report_crashes(&self, evidence: CrashEvidence) {
+        self.node.apply_evidence(evidence);
+    }
+
     fn report_streams(&self, streams: Vec<StreamVersion>) {
         self.node.owner.apply(Event::StreamsReported(streams));
     }
--- a/crates/dragonflystep_edge/src/platform.rs
+++ b/crates/dragonflystep_edge/src/platform.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::node::Node,
-    dragonflystep_dispatch::RolloutStep,
+    dragonflystep_dispatch::{CrashEvidence, RolloutStep},
     std::{future::Future, pin::Pin, rc::Rc},
 };
 
@@ -21,6 +21,14 @@
     /// Completes once the step is written or is no longer current.
     fn publish_rollout(self: Rc<Self>, node: Rc<Node>, step: RolloutStep) -> PlatformFuture;
 
+    /// Keeps the crashes of the content that the owner refuses, so that nodes know of them that start when no other one runs.
+    /// Completes once they are written or are no longer current.
+    fn publish_refused_content(
+        self: Rc<Self>,
+        node: Rc<Node>,
+        refused: CrashEvidence,
+    ) -> PlatformFuture;
+
     /// Removes the node from the platform's list before it stops.
     fn withdraw(self: Rc<Self>, node: Rc<Node>) -> PlatformFuture;
 }
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -18,7 +18,7 @@
         slots::{RunStats, Slot},
         upstream_connections::OpenConnection,
     },
-    dragonflystep_dispatch::{RouteKind, RunOutcome},
+    dragonflystep_dispatch::{RouteKind, RunOutcome, SOUND_EVENTS},
     http::{Response, StatusCode},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
@@ -180,6 +180,9 @@
                     splitter.push(&data);
                     while let Some(event) = splitter.next_event() {
                         stats.events += u32::from(event.is_end);
+                        if event.is_end && stats.events == SOUND_EVENTS {
+                            self.slot.note_begun();
+                        }
                         let elapsed = self.slot.elapsed();
                         if stats.time_to_first_event.is_some() {
                             let pause = elapsed.saturating_sub(last_event_at);
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -15,7 +15,8 @@
     },
     bytes::{Bytes, BytesMut},
     dragonflystep_dispatch::{
-        Account, DataCentreName, QuotaUnit, RouteKind, RouteMatch, RoutingError,
+        Account, ContentKey, DataCentreName, PromptSegment, QuotaUnit, RouteKind, RouteMatch,
+        RoutingError,
     },
     http::{Request, Response, StatusCode, Version, request::Parts},
     http_body_util::BodyExt,
@@ -101,6 +102,7 @@
         xxh3_64(path.as_bytes()),
         xxh3_64(&body),
     ];
+    let shared_content = shared_content(&facts.size.segments);
     let tier = resolved.tier();
     let quota_units = quota_units(resolved.account.as_deref(), &facts);
     Ok(Rc::new(Job {
@@ -116,6 +118,7 @@
         headers: head.headers,
         body,
         fingerprint: xxh3_64(&concat_le_bytes(&hashes)),
+        shared_content,
         quota_units,
         tier,
         allowed_data_centres,
@@ -149,6 +152,13 @@
     Ok(Some(data_centres))
 }
 
+/// Keys of the prompt segments that other requests may share. The last segment belongs to the request itself.
+fn shared_content(segments: &[PromptSegment]) -> Vec<ContentKey> {
+    let shared = segments.split_last().map_or(&[][..], |(_, shared)| shared);
+    let ids = shared.iter().map(|segment| segment.id.to_le_bytes());
+    ids.map(|id| xxh3_64(&id)).collect()
+}
+
 fn concat_le_bytes(hashes: &[u64]) -> Vec<u8> {
     hashes.iter().flat_map(|hash| hash.to_le_bytes()).collect()
 }
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -11,8 +11,8 @@
         upstream_notices::ObservedAnswer,
     },
     dragonflystep_dispatch::{
-        Event, Grant, NodeName, RunId, RunOutcome, RunReport, SlotDecision, SlotRequest,
-        UpstreamLoad, UpstreamNotice, UpstreamVersion,
+        CrashEvidence, Event, Grant, NodeName, RunId, RunOutcome, RunReport, SlotDecision,
+        SlotRequest, UpstreamLoad, UpstreamNotice, UpstreamVersion,
     },
     dragonflystep_peer::{PeerError, PeerLink},
     std::{rc::Rc, time::Duration},
@@ -72,7 +72,7 @@
         }
         let owner = self.owner();
         if let Some(link) = owner.and_then(|owner| self.node.members.link(&owner)) {
-            spawn_local(send_notices(link, notices));
+            spawn_local(send_notices(link, notices, CrashEvidence::default()));
         }
     }
 
@@ -151,6 +151,21 @@
         Some(runs.get(&self.run)?.owner.0.clone())
     }
 
+    /// Whether the request holds content that crashes upstreams, by what this node knows.
+    pub(crate) fn holds_crashing_content(&self) -> bool {
+        let runs = self.node.entry_runs.runs.borrow();
+        let run = runs.get(&self.run);
+        run.is_some_and(|run| self.node.owner.holds_crashing_content(&run.request))
+    }
+
+    /// Records that the upstream has begun to answer, so that the content of the request is sound.
+    pub(crate) fn note_begun(&self) {
+        let runs = self.node.entry_runs.runs.borrow();
+        if let Some(run) = runs.get(&self.run) {
+            self.node.report_begun(run, self.grant.reports_begin);
+        }
+    }
+
     /// Reports to the owner how the run ended.
     pub fn end(mut self, outcome: RunOutcome, stats: RunStats) {
         self.report_end(outcome, stats);
@@ -164,6 +179,11 @@
         let Some(run) = runs.runs.borrow_mut().remove(&self.run) else {
             return;
         };
+        match outcome {
+            RunOutcome::Broken => self.node.report_crash(&run, &self.grant, stats.events),
+            RunOutcome::Completed => self.node.note_completed(&run),
+            _ => {}
+        }
         if !outcome.may_have_run() {
             runs.record_usage(self.node.owner.now(), &run, -1.0);
         }
@@ -340,9 +360,9 @@
         if node.owner.shares_streams() {
             node.send_streams(owner, &Rc::new(node.owner.own_streams()));
         }
-        let notices = node.owner.notices();
-        if !notices.is_empty() {
-            spawn_local(send_notices(link.clone(), notices));
+        let (notices, crashes) = (node.owner.notices(), node.owner.crash_evidence());
+        if !notices.is_empty() || !crashes.is_empty() {
+            spawn_local(send_notices(link.clone(), notices, crashes));
         }
         let link = link.clone();
         spawn_local(async move {
@@ -362,10 +382,14 @@
     tokio::task::yield_now().await;
 }
 
-/// Sends upstream notices to an owner.
-async fn send_notices(link: Rc<PeerLink>, notices: Vec<UpstreamNotice>) {
-    if let Err(error) = link.share_notices(&notices).await {
-        log::debug!(error:%; "could not send upstream notices to an owner");
+/// Sends upstream notices, and what is known of content that crashes upstreams, to an owner.
+pub(crate) async fn send_notices(
+    link: Rc<PeerLink>,
+    notices: Vec<UpstreamNotice>,
+    crashes: CrashEvidence,
+) {
+    if let Err(error) = link.share_notices(&notices, &crashes).await {
+        log::debug!(error:%; "could not send notices of upstreams to an owner");
     }
 }
 
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -35,6 +35,8 @@
   streamVersion @21 :Text;
   # For a resumed stream: whether the sender saw several versions within the time in which a caller may come back.
   sawSeveralVersions @22 :Bool;
+  # Keys of the prompt segments that other requests may share.
+  sharedContent @23 :List(UInt64);
 }
 
 enum RefusalReason {
@@ -43,7 +45,7 @@
 
 struct Verdict {
   union {
-    granted :group { upstream @0 :Text; address @1 :Text; version @4 :Text; }
+    granted :group { upstream @0 :Text; address @1 :Text; version @4 :Text; reportsBegin @5 :Bool; }
     refused :group { reason @2 :RefusalReason; retryAfterUs @3 :UInt64; }
   }
 }
@@ -99,6 +101,21 @@
 # Streams that began at one software version, and how long each of them may still be resumed.
 struct VersionStreams { version @0 :Text; streams @1 :List(UInt64); lifetimesMs @2 :List(UInt32); }
 
+# A crash of an upstream, with keys of the content of the runs on board that had not begun to answer.
+struct UpstreamCrash {
+  service @0 :Text;
+  upstream @1 :Text;
+  address @2 :Text;
+  ageUs @3 :UInt64;
+  segments @4 :List(UInt64);
+  requests @5 :List(UInt64);
+}
+
+# Content with which an upstream last began to answer `ageUs` ago.
+struct SoundContent { content @0 :UInt64; ageUs @1 :UInt64; }
+
+struct CrashEvidence { crashes @0 :List(UpstreamCrash); sound @1 :List(SoundContent); }
+
 # Summary of a node's state with the versions of its lists. Changes of a list are included only if the receiver's
 # version is older and the changes are few.
 struct Digest {
@@ -125,6 +142,10 @@
   platformUpMs @12 :UInt32;
   # Evacuated data centres; absent if the sender knows of none and has seen none in the receiver's digest.
   evacuations @13 :Evacuations;
+  # What the node knows of content that crashes upstreams; sent only in answers to nodes that know other things.
+  crashes @14 :CrashEvidence;
+  # A number that differs between nodes which know different things of it; 0 for a node that knows nothing.
+  crashesVersion @15 :UInt64;
 }
 
 # The whole set of evacuated data centres, with its version.
@@ -140,7 +161,7 @@
   # Returns one piece of the changes that a node with the given version of a list lacks; version 0 requests the whole
   # list.
   listSince @6 (piece :ListPieceAsk) -> (piece :ListPiece);
-  noticed @7 (notices :List(UpstreamNotice)) -> ();
+  noticed @7 (notices :List(UpstreamNotice), crashes :CrashEvidence) -> ();
   # Reports at which software versions streams began.
   streamsBegan @8 (versions :List(VersionStreams)) -> ();
 }
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Digest, Evacuations, ListName, ListPiece, ListPieceRequest, PeerError,
+        crash_codec::{decode_evidence, encode_evidence, encode_keys},
         notice_codec::{decode_notices, encode_notices},
         peer_capnp::{
             self, account_spending, ask, digest, ended, list_piece, list_piece_ask, running_run,
@@ -42,6 +43,11 @@
     let excluded = &request.excluded_upstreams;
     encode_text_list(excluded, out.reborrow().init_avoid(excluded.len() as u32));
     out.set_fingerprint(request.fingerprint);
+    let content = &request.shared_content;
+    encode_keys(
+        content,
+        out.reborrow().init_shared_content(content.len() as u32),
+    );
     out.set_data_centre(&*request.data_centre);
     if let Some(allowed) = &request.allowed_data_centres {
         out.set_is_restricted(true);
@@ -86,6 +92,7 @@
         previous_attempts: input.get_attempt(),
         excluded_upstreams: decode_text_list(input.get_avoid()?)?,
         fingerprint: input.get_fingerprint(),
+        shared_content: input.get_shared_content()?.iter().collect(),
         data_centre: input.get_data_centre()?.to_str()?.into(),
         allowed_data_centres: if input.get_is_restricted() {
             Some(decode_text_list(input.get_allowed_data_centres()?)?)
@@ -111,6 +118,7 @@
             granted.set_upstream(&*grant.upstream);
             granted.set_address(&*grant.address);
             granted.set_version(&*grant.version);
+            granted.set_reports_begin(grant.reports_begin);
         }
         SlotDecision::Refused(refusal) => {
             let mut refused = out.init_refused();
@@ -126,6 +134,7 @@
             upstream: granted.get_upstream()?.to_str()?.into(),
             address: granted.get_address()?.to_str()?.to_owned(),
             version: granted.get_version()?.to_str()?.into(),
+            reports_begin: granted.get_reports_begin(),
         }),
         verdict::Which::Refused(refused) => SlotDecision::Refused(Refusal {
             reason: decode_reason(refused.get_reason()?),
@@ -341,8 +350,12 @@
     out.set_members_version(digest.members_version);
     out.set_members(&digest.members);
     out.set_rollouts(&digest.rollouts);
-    let notices = out.init_notices(digest.notices.len() as u32);
+    let notices = out.reborrow().init_notices(digest.notices.len() as u32);
     encode_notices(&digest.notices, notices);
+    out.set_crashes_version(digest.crashes_version);
+    if !digest.crashes.is_empty() {
+        encode_evidence(&digest.crashes, out.init_crashes());
+    }
 }
 
 pub(crate) fn decode_digest(input: digest::Reader<'_>) -> Result<Digest, PeerError> {
@@ -369,5 +382,7 @@
         members: input.get_members()?.to_vec(),
         rollouts: input.get_rollouts()?.to_vec(),
         notices: decode_notices(input.get_notices()?)?,
+        crashes: decode_evidence(input.get_crashes()?)?,
+        crashes_version: input.get_crashes_version(),
     })
 }
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -9,6 +9,7 @@
 //! A node that can't reach an upstream connects to it through another node ([`open_tunnel`]).
 
 mod codec;
+mod crash_codec;
 mod error;
 mod generated;
 mod link;
@@ -34,7 +35,9 @@
 };
 
 use {
-    dragonflystep_dispatch::{DataCentreName, MonotonicTime, NodeName, UpstreamNotice},
+    dragonflystep_dispatch::{
+        CrashEvidence, DataCentreName, MonotonicTime, NodeName, UpstreamNotice,
+    },
     std::time::Duration,
 };
 
@@ -118,6 +121,11 @@
     /// Notices that upstreams gave about themselves; sent only in answers, since only there can the calling node
     /// bound their age.
     pub notices: Vec<UpstreamNotice>,
+    /// What the sender knows of content that crashes upstreams; sent only in answers, like the notices, and only to nodes
+    /// that know other things.
+    pub crashes: CrashEvidence,
+    /// A number that differs between nodes which know different things of such content; 0 for a node that knows nothing.
+    pub crashes_version: u64,
 }
 
 /// Converts a duration to the whole microseconds that messages carry.
--- a/crates/dragonflystep_peer/src/link.rs
+++ b/crates/dragonflystep_peer/src/link.rs
@@ -8,6 +8,7 @@
             encode_digest, encode_list_piece_request, encode_load, encode_run_report,
             encode_slot_request, encode_usage,
         },
+        crash_codec::encode_evidence,
         elapsed_since,
         notice_codec::encode_notices,
         peer_capnp::peer,
@@ -16,8 +17,8 @@
     },
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     dragonflystep_dispatch::{
-        ActiveRun, MonotonicTime, RunReport, SlotDecision, SlotRequest, StreamVersion,
-        UpstreamLoad, UpstreamNotice, UsageReport,
+        ActiveRun, CrashEvidence, MonotonicTime, RunReport, SlotDecision, SlotRequest,
+        StreamVersion, UpstreamLoad, UpstreamNotice, UsageReport,
     },
     std::{
         cell::{Cell, RefCell},
@@ -173,14 +174,21 @@
         Ok(())
     }
 
-    /// Forwards the notices that upstreams gave about themselves.
+    /// Forwards the notices that upstreams gave about themselves, and what is known of content that crashes them.
     ///
     /// # Errors
     /// When the node can't be reached or the connection breaks.
-    pub async fn share_notices(&self, notices: &[UpstreamNotice]) -> Result<(), PeerError> {
+    pub async fn share_notices(
+        &self,
+        notices: &[UpstreamNotice],
+        crashes: &CrashEvidence,
+    ) -> Result<(), PeerError> {
         let client = self.client().await?;
         let mut request = client.noticed_request();
         encode_notices(notices, request.get().init_notices(notices.len() as u32));
+        if !crashes.is_empty() {
+            encode_evidence(crashes, request.get().init_crashes());
+        }
         self.record_response(request.send().promise.await)?;
         Ok(())
     }
--- a/crates/dragonflystep_peer/src/server.rs
+++ b/crates/dragonflystep_peer/src/server.rs
@@ -9,6 +9,7 @@
             decode_run_report, decode_slot_request, decode_usage, encode_digest, encode_list_piece,
             encode_slot_decision,
         },
+        crash_codec::decode_evidence,
         notice_codec::decode_notices,
         peer_capnp::peer,
         stream_codec::decode_streams,
@@ -17,8 +18,8 @@
     capnp::capability::Promise,
     capnp_rpc::{RpcSystem, new_client, pry, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     dragonflystep_dispatch::{
-        ActiveRun, RunReport, SlotDecision, SlotRequest, StreamVersion, UpstreamLoad,
-        UpstreamNotice, UsageReport,
+        ActiveRun, CrashEvidence, RunReport, SlotDecision, SlotRequest, StreamVersion,
+        UpstreamLoad, UpstreamNotice, UsageReport,
     },
     futures::io::{BufReader, BufWriter},
     std::{
@@ -54,6 +55,9 @@
     /// Takes the notices of upstreams about themselves that the calling node knows of.
     fn share_notices(&self, notices: Vec<UpstreamNotice>);
 
+    /// Takes what the calling node knows of content that crashes upstreams.
+    fn report_crashes(&self, evidence: CrashEvidence);
+
     /// Takes reports of the software versions at which streams began.
     fn report_streams(&self, streams: Vec<StreamVersion>);
 
@@ -196,10 +200,15 @@
         params: peer::NoticedParams,
         _: peer::NoticedResults,
     ) -> Promise<(), capnp::Error> {
-        let messages = pry!(pry!(params.get()).get_notices());
-        let notices = decode_notices(messages);
+        let params = pry!(params.get());
+        let notices = decode_notices(pry!(params.get_notices()));
         self.handler
             .share_notices(pry!(notices.map_err(|error| to_rpc_error(&error))));
+        let crashes = decode_evidence(pry!(params.get_crashes()));
+        let crashes = pry!(crashes.map_err(|error| to_rpc_error(&error)));
+        if !crashes.is_empty() {
+            self.handler.report_crashes(crashes);
+        }
         Promise::ok(())
     }
 
--- a/crates/dragonflystep_peer/tests/tunnel.rs
+++ b/crates/dragonflystep_peer/tests/tunnel.rs
@@ -2,7 +2,8 @@
 
 use {
     dragonflystep_dispatch::{
-        ActiveRun, RunReport, SlotRequest, StreamVersion, UpstreamLoad, UpstreamNotice, UsageReport,
+        ActiveRun, CrashEvidence, RunReport, SlotRequest, StreamVersion, UpstreamLoad,
+        UpstreamNotice, UsageReport,
     },
     dragonflystep_peer::{
         Digest, ListPiece, ListPieceRequest, Network, PeerHandler, RequestedTunnel,
@@ -55,6 +56,8 @@
 
     fn report_load(&self, _: UpstreamLoad) {}
 
+    fn report_crashes(&self, _: CrashEvidence) {}
+
     fn report_streams(&self, _: Vec<StreamVersion>) {}
 
     fn share_notices(&self, _: Vec<UpstreamNotice>) {}
