--- a/crates/dragonflystep_dispatch/src/crash_log/verdict.rs
+++ b/crates/dragonflystep_dispatch/src/crash_log/verdict.rs
@@ -165,8 +165,9 @@
 
     /// How unlikely it is that content was on board of these crashes by chance, as the natural logarithm.
     ///
-    /// An outage may crash many upstreams at once, and one upstream may crash again and again, whatever runs there: the
-    /// crashes of one moment count once, by the share of the upstreams that crashed, and so do those at one address.
+    /// An outage may crash many upstreams at once, whatever runs there: the crashes of one moment count once, by the share of
+    /// the upstreams that crashed. One upstream may crash again and again, and content goes where it is cached: only
+    /// further addresses count in full.
     fn weight(&self, crashes: &[usize], upstreams: &HashMap<ServiceName, usize>) -> f64 {
         let moment_us = CRASH_MOMENT.as_micros() as i64;
         let mut addresses = HashSet::new();
@@ -175,12 +176,13 @@
         for crash in crashes.iter().map(|index| &self.crashes[*index]) {
             let is_new_moment = last_at.is_none_or(|last| crash.at - last > moment_us);
             last_at = Some(crash.at);
-            let is_new_address = addresses.insert(&crash.address);
+            let is_first = addresses.is_empty();
+            let is_further_address = addresses.insert(&crash.address) && !is_first;
             if !is_new_moment {
                 continue;
             }
             weight += std::f64::consts::LN_2;
-            if is_new_address {
+            if is_further_address {
                 let count = upstreams.get(&crash.service).copied().unwrap_or(0);
                 weight += (count as f64 / self.simultaneous(crash) as f64)
                     .ln()
