--- a/crates/dragonflystep_dispatch/src/dispatcher/content.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/content.rs
@@ -129,7 +129,7 @@
 
     /// Whether a request holds content that crashes upstreams, by crashes of which all nodes have heard.
     pub fn holds_crashing_content(&self, now: MonotonicTime, request: &SlotRequest) -> bool {
-        if self.crash_log.is_empty() {
+        if self.crash_log.suspects_in(request).is_empty() {
             return false;
         }
         let counts = self.upstream_counts();
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -23,8 +23,8 @@
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
-        Account, ContentKey, DataCentreName, Refusal, Route, RouteKind, RunOutcome, ServiceName,
-        SlotRequest, Tier, UpstreamId,
+        Account, ContentKey, DataCentreName, Refusal, RefusalReason, Route, RouteKind, RunOutcome,
+        ServiceName, SlotRequest, Tier, UpstreamId,
     },
     http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header},
     http_body_util::{BodyExt, Full},
@@ -231,7 +231,7 @@
             return DispatchOutcome::NotRun(WITHHELD);
         }
         if slot.holds_crashing_content() {
-            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "the request holds content that crashes upstreams; its slot is returned");
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, content:% = self.content(); "the request holds content that crashes upstreams; its slot is returned");
             slot.return_unused();
             return DispatchOutcome::NotRun(CRASHING_CONTENT);
         }
@@ -259,7 +259,7 @@
                 return DispatchOutcome::NotRun(NO_PATH);
             }
             Ok(Err(SendError::Broken { error, forwarder })) => {
-                log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, segments:% = self.shared_segments(), error:%; "upstream broke off");
+                log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, content:% = self.content(), error:%; "upstream broke off");
                 self.count_broken_run(0);
                 // A break of the path says nothing about the upstream, nor about the request.
                 let is_break_of_path = self.node.is_break_of_path(&address, forwarder.as_ref());
@@ -389,6 +389,9 @@
         if attempts.has_run || server_error.is_some() {
             return self.give_up(reply.reason, attempts, server_error);
         }
+        if refusal.reason == RefusalReason::CrashSuspect {
+            log::info!(request:% = self.facts.request_id, content:% = self.content(); "the request holds content that crashes upstreams");
+        }
         log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), quota_units = self.quota_units, reason = reply.reason, sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
         reply.response(&self.node, &self.facts.request_id)
     }
@@ -398,13 +401,14 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
-    /// The ids of the prompt segments that other requests may share, for log records. The last segment belongs to the
-    /// request itself.
-    pub(crate) fn shared_segments(&self) -> String {
-        let segments = self.facts.size.segments.split_last();
-        let shared = segments.map_or(&[][..], |(_, shared)| shared);
-        let ids = shared.iter().map(|segment| format!("{:x}", segment.id));
-        ids.collect::<Vec<_>>().join(",")
+    /// The content because of which the request may crash upstreams, for log records: each shared segment of its prompt and
+    /// the request itself, with the keys by which nodes know them.
+    pub(crate) fn content(&self) -> String {
+        let segments = self.facts.size.segments.iter();
+        let shared = segments.zip(&self.shared_content);
+        let shared = shared.map(|(segment, key)| format!("{:x}/{key:016x}", segment.id));
+        let request = format!("request/{:016x}", self.fingerprint);
+        shared.chain([request]).collect::<Vec<_>>().join(",")
     }
 
     /// Counts a run that broke off after `events` events of its answer.
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -52,7 +52,7 @@
     let body = match timeout(time_limit, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
-            log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, segments:% = job.shared_segments(), framing = framing.name(), error:%; "an answer was cut");
+            log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, content:% = job.content(), framing = framing.name(), error:%; "an answer was cut");
             job.count_broken_run(0);
             slot.end(RunOutcome::Broken, RunStats::default());
             return DispatchOutcome::Unknown("answer_cut");
@@ -210,7 +210,7 @@
                     }
                 }
                 Some(Err(error)) => {
-                    log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, segments:% = job.shared_segments(), framing = framing.name(), events = stats.events, error:%; "a stream broke off");
+                    log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, content:% = job.content(), framing = framing.name(), events = stats.events, error:%; "a stream broke off");
                     job.count_broken_run(stats.events);
                     self.slot.end(RunOutcome::Broken, stats);
                     return RelayEnd::Broken;
@@ -221,7 +221,7 @@
                     let is_without_events = framing == BodyFraming::Connection && stats.events == 0;
                     let remainder = splitter.take_remainder();
                     if is_inside_event || is_without_events {
-                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, segments:% = job.shared_segments(), framing = framing.name(), events = stats.events, left_over_bytes = remainder.len(); "a stream ended before it was complete");
+                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, content:% = job.content(), framing = framing.name(), events = stats.events, left_over_bytes = remainder.len(); "a stream ended before it was complete");
                         job.count_broken_run(stats.events);
                         self.slot.end(RunOutcome::Broken, stats);
                         return RelayEnd::Broken;
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -8,7 +8,7 @@
 };
 
 /// Prints the log lines of one request from several nodes, sorted by time. Before them it prints the latest changes
-/// in what each of these nodes knew about the system when the request arrived. If the request began or resumed a stream,
+/// in what each of these nodes knew about the system when the request arrived, and what owners concluded about its content. If the request began or resumed a stream,
 /// the lines of all tries of that stream are printed.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "explain")]
@@ -31,6 +31,12 @@
     ("upstream wants rest", "rest"),
 ];
 
+/// Log messages of owners about content that crashes upstreams.
+const CONTENT_MESSAGES: [&str; 2] = [
+    "requests with content that crashed upstreams are refused",
+    "requests with content that crashed upstreams are no longer refused",
+];
+
 /// Log messages that record a change of what a node knows about the system, each with its topic.
 const STATE_MESSAGES: [(&str, &str); 7] = [
     ("catalogue in force", "catalogue"),
@@ -83,6 +89,9 @@
     if let Some((_, topic)) = NOTICES.iter().find(|(notice, _)| *notice == message) {
         return Some((topic, line["upstream"].as_str()?));
     }
+    if CONTENT_MESSAGES.contains(&message) {
+        return Some(("content", line["content"].as_str()?));
+    }
     let mut states = STATE_MESSAGES.iter();
     let (_, topic) = states.find(|(state, _)| *state == message)?;
     Some((topic, ""))
@@ -103,6 +112,22 @@
     others.chain([first, request]).collect()
 }
 
+/// Whether a log line of an owner is about content that a request holds, by the lines of the request.
+fn is_about_content_of(line: &Value, request_lines: &[&Value]) -> bool {
+    let message = line["message"].as_str();
+    let Some(content) = line["content"].as_str() else {
+        return false;
+    };
+    let is_held = |key: &str| {
+        let mut held = request_lines
+            .iter()
+            .filter_map(|line| line["content"].as_str());
+        held.any(|held| held.contains(key))
+    };
+    message.is_some_and(|message| CONTENT_MESSAGES.contains(&message))
+        && content.split(',').all(is_held)
+}
+
 /// Returns the lines of the request, preceded by state changes logged before the first of these lines: the latest one
 /// for each subject and each node that handled the request.
 fn explain(request: &str, mut lines: Vec<Value>) -> Vec<Value> {
@@ -116,11 +141,8 @@
     let Some(first) = lines.iter().position(of_request) else {
         return Vec::new();
     };
-    let nodes: Vec<&Value> = lines
-        .iter()
-        .filter(|line| of_request(line))
-        .map(|line| &line["node"])
-        .collect();
+    let request_lines: Vec<&Value> = lines.iter().filter(|line| of_request(line)).collect();
+    let nodes: Vec<&Value> = request_lines.iter().map(|line| &line["node"]).collect();
     let mut state_changes: Vec<&Value> = Vec::new();
     for line in lines[..first].iter().rev() {
         let Some(subject) = state_subject(line) else {
@@ -129,12 +151,13 @@
         let is_replaced = state_changes
             .iter()
             .any(|later| later["node"] == line["node"] && state_subject(later) == Some(subject));
-        if nodes.contains(&&line["node"]) && !is_replaced {
+        let is_relevant =
+            nodes.contains(&&line["node"]) || is_about_content_of(line, &request_lines);
+        if is_relevant && !is_replaced {
             state_changes.push(line);
         }
     }
     state_changes.reverse();
-    let request_lines = lines.iter().filter(|line| of_request(line));
     state_changes
         .into_iter()
         .chain(request_lines)
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -125,3 +125,24 @@
     let (_, stdout) = explain("r4", &[("b.log", second)]);
     assert_eq!(stdout.lines().count(), 1, "{stdout}");
 }
+
+#[test]
+fn what_owners_concluded_about_the_content_of_a_request_comes_before_its_lines() {
+    let owner = concat!(
+        r#"{"time_ms":1,"node":"o","message":"requests with content that crashed upstreams are refused","content":"00ab"}"#,
+        "\n",
+        r#"{"time_ms":2,"node":"o","message":"requests with content that crashed upstreams are refused","content":"00cd"}"#,
+        "\n",
+    );
+    let entry = concat!(
+        r#"{"time_ms":8,"node":"a","message":"the request holds content that crashes upstreams","request":"r1","content":"5/00cd,request/77"}"#,
+        "\n",
+        r#"{"time_ms":9,"node":"a","message":"request refused","request":"r1","reason":"breaks_upstreams"}"#,
+        "\n",
+    );
+    let (code, stdout) = explain("r1", &[("o.log", owner), ("a.log", entry)]);
+    assert_eq!(code, Some(0));
+    let lines: Vec<&str> = stdout.lines().collect();
+    assert_eq!(lines.len(), 3, "{stdout}");
+    assert!(lines[0].contains("00cd"), "{stdout}");
+}
