--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -132,7 +132,7 @@
 pub(crate) const FIRST_CONTENT_TRIAL: Duration = Duration::from_secs(60);
 
 /// Longest time until such a trial.
-pub(crate) const MAX_CONTENT_TRIAL: Duration = Duration::from_secs(3_600);
+pub(crate) const MAX_CONTENT_TRIAL: Duration = Duration::from_secs(8 * 3_600);
 
 /// Shortest time between the crash of a trial and the crash before it.
 pub(crate) const TRIAL_GAP: Duration = Duration::from_secs(10);
@@ -141,7 +141,7 @@
 pub(crate) const TRIAL_GAP_FACTOR: i64 = 8;
 
 /// How long a crash is remembered; longer than the longest time until a trial.
-pub(crate) const CRASH_MEMORY: Duration = Duration::from_secs(7_200);
+pub(crate) const CRASH_MEMORY: Duration = Duration::from_secs(24 * 3_600);
 
 /// Largest number of remembered crashes, and of suspects of each; about 70 KB.
 pub(crate) const MAX_CRASHES: usize = 64;
