--- a/crates/dragonflystep_dispatch/src/crash_log.rs
+++ b/crates/dragonflystep_dispatch/src/crash_log.rs
@@ -1,4 +1,4 @@
-//! Remembers crashes of upstreams with the content that was on board, and concludes which content crashes upstreams.
+//! Remembers crashes of upstreams with the content that was being processed, and concludes which content causes them.
 //!
 //! It is designed for prompts that share a segment which crashes each engine that begins to answer: no two requests are
 //! alike, they come at any node, and all their other segments are sound. Every node keeps the crashes and the content that
@@ -25,7 +25,7 @@
     },
 };
 
-/// A crash of an upstream, with the content of the runs on board that may have caused it.
+/// A crash of an upstream, with the content of the runs that may have caused it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamCrash {
     /// Service of the upstream.
@@ -38,7 +38,7 @@
     pub age: Duration,
     /// Prompt segments of the runs that the upstream had not begun to answer.
     pub segments: Vec<ContentKey>,
-    /// Fingerprints of the requests of all runs on board.
+    /// Fingerprints of the requests of all runs there.
     pub requests: Vec<RequestFingerprint>,
 }
 
@@ -263,7 +263,7 @@
             .retain(|key, _| crashes.iter().any(|it| it.suspects.contains_key(key)));
     }
 
-    /// Whether content that was on board of a crash has not proved to be sound since.
+    /// Whether content of a crash has not proved to be sound since.
     fn is_suspect(&self, crash: &Crash, content: ContentKey) -> bool {
         let sound_at = self.sound.get(&content);
         sound_at.is_none_or(|sound_at| *sound_at <= crash.at)
--- a/crates/dragonflystep_dispatch/src/crash_log/verdict.rs
+++ b/crates/dragonflystep_dispatch/src/crash_log/verdict.rs
@@ -5,9 +5,9 @@
     crate::{
         ids::{ContentKey, MonotonicTime, ServiceName},
         limits::{
-            CONCLUSION_INTERVAL, CONTENT_CRASHES, CONTENT_PROOF, CRASH_MOMENT, CRASHES_BEFORE_CARE,
-            FIRST_CONTENT_TRIAL, MAX_CONTENT_TRIAL, OWNER_CRASH_SETTLE, REQUEST_CRASHES,
-            SIMULTANEOUS_CRASHES, TRIAL_GAP, TRIAL_GAP_FACTOR,
+            CONCLUSION_INTERVAL, CONTENT_CRASHES, CONTENT_PROOF, CRASH_MOMENT,
+            CRASHES_BEFORE_SERIALIZING, FIRST_CONTENT_TRIAL, MAX_CONTENT_TRIAL, OWNER_CRASH_SETTLE,
+            REQUEST_CRASHES, SIMULTANEOUS_CRASHES, TRIAL_GAP, TRIAL_GAP_FACTOR,
         },
         messages::SlotRequest,
     },
@@ -17,8 +17,7 @@
     },
 };
 
-/// Content that crashes upstreams. If several contents were on board of all its crashes, only requests with all of them
-/// count as such.
+/// Content that crashes upstreams. If several contents have the same crashes, only requests with all of them count as such.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct CrashingContent {
     pub(crate) keys: BTreeSet<ContentKey>,
@@ -35,7 +34,7 @@
 pub(crate) struct Verdicts {
     pub(crate) crashing: Vec<CrashingContent>,
     /// Content whose requests are sent one at a time, with the time of its last crash.
-    with_care: HashMap<ContentKey, ObservedAt>,
+    serialized: HashMap<ContentKey, ObservedAt>,
     /// All content that is suspected of some crash.
     pub(crate) suspected: HashSet<ContentKey>,
 }
@@ -54,20 +53,20 @@
     }
 
     /// The content of a request because of which it is sent only while no other request with it is about to be answered.
-    pub(crate) fn care_in(&self, request: &SlotRequest) -> Vec<ContentKey> {
-        if self.with_care.is_empty() {
+    pub(crate) fn serialized_content(&self, request: &SlotRequest) -> Vec<ContentKey> {
+        if self.serialized.is_empty() {
             return Vec::new();
         }
         let content = request.content();
         content
-            .filter(|key| self.with_care.contains_key(key))
+            .filter(|key| self.serialized.contains_key(key))
             .collect()
     }
 
     /// Whether such content crashed an upstream so lately that it is not known yet what follows from it.
     pub(crate) fn has_just_crashed(&self, now: MonotonicTime, content: &[ContentKey]) -> bool {
         let unsettled_since = observed_at(now, OWNER_CRASH_SETTLE + 2 * CONCLUSION_INTERVAL);
-        let last = content.iter().filter_map(|key| self.with_care.get(key));
+        let last = content.iter().filter_map(|key| self.serialized.get(key));
         last.max().is_some_and(|last| *last > unsettled_since)
     }
 }
@@ -94,7 +93,7 @@
         let settled_at = observed_at(now, settled_for);
         let mut crashes_of = self.crashes_by_suspect();
         verdicts.suspected.extend(crashes_of.keys());
-        // Whoever explains most crashes is to blame for them, and nobody else is.
+        // Other content of the same crashes is not counted as their cause.
         while let Some(crashing) = self.most_likely(&crashes_of, settled_at, upstreams) {
             let explained: HashSet<usize> = crashing.crash_indices.iter().copied().collect();
             crashes_of.retain(|key, (_, crashes)| {
@@ -104,17 +103,17 @@
             let last = crashing.crash_indices.last();
             let last_at = last.map_or(0, |last| self.crashes[*last].at);
             let keys = crashing.keys.iter();
-            verdicts.with_care.extend(keys.map(|key| (*key, last_at)));
+            verdicts.serialized.extend(keys.map(|key| (*key, last_at)));
             verdicts.crashing.push(crashing);
         }
         let suspects = crashes_of.iter();
-        // A whole request is refused so soon that care gains nothing.
+        // A whole request is refused before sending it alone gains anything.
         let repeated = suspects.filter(|(_, (kind, crashes))| {
-            *kind == ContentKind::Segment && crashes.len() >= CRASHES_BEFORE_CARE
+            *kind == ContentKind::Segment && crashes.len() >= CRASHES_BEFORE_SERIALIZING
         });
         let repeated = repeated
             .filter_map(|(key, (_, crashes))| Some((*key, self.crashes[*crashes.last()?].at)));
-        verdicts.with_care.extend(repeated);
+        verdicts.serialized.extend(repeated);
         verdicts
     }
 
@@ -163,7 +162,7 @@
         })
     }
 
-    /// How unlikely it is that content was on board of these crashes by chance, as the natural logarithm.
+    /// How unlikely it is that content was being processed at these crashes by chance, as the natural logarithm.
     ///
     /// An outage may crash many upstreams at once, whatever runs there: the crashes of one moment count once, by the share of
     /// the upstreams that crashed. One upstream may crash again and again, and content goes where it is cached: only
@@ -223,9 +222,9 @@
             for index in &crashing.crash_indices {
                 let crash = &self.crashes[*index];
                 let suspects = crash.suspects.iter();
-                let to_blame = suspects.filter(|(key, _)| crashing.keys.contains(*key));
-                let to_blame: Vec<_> = to_blame.collect();
-                reports.insert(*index, report(now, crash, &to_blame));
+                let causes = suspects.filter(|(key, _)| crashing.keys.contains(*key));
+                let causes: Vec<_> = causes.collect();
+                reports.insert(*index, report(now, crash, &causes));
             }
         }
         reports.into_values().collect()
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -1,15 +1,15 @@
 //! The state machine of a service's owner: it takes events and returns decisions for the entry nodes.
 
 mod content;
+mod documents;
 mod streams;
 
 use {
     crate::{
-        catalogue::Catalogue,
         crash_log::{CrashLog, Verdicts},
         event::{Effect, Event, SharedLimits},
         ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
-        limits::{OVERLAP_RATE_SHARE, OWNER_OVERLAP},
+        limits::OWNER_OVERLAP,
         messages::{
             BackOff, Refusal, RefusalReason, RunOutcome, RunReport, SlotDecision, SlotRequest,
         },
@@ -21,11 +21,10 @@
         retry_budget::RetryLimits,
         rollout::{RolloutRules, RolloutStep},
         stream_versions::StreamVersions,
-        upstream::Upstream,
         warm_up::WarmUpRules,
     },
     std::{
-        collections::{BTreeSet, HashMap, HashSet},
+        collections::{BTreeSet, HashMap},
         rc::Rc,
         time::Duration,
     },
@@ -420,64 +419,6 @@
         }
     }
 
-    /// Returns the share of the upstreams' rate limits that this owner may use.
-    ///
-    /// A node that most nodes have not called recently decides only for itself, even if it sees most of them. Many such
-    /// nodes would otherwise each use the whole rate of an upstream.
-    fn rate_limit_share(&self) -> f64 {
-        let overlap = self.overlap_ends_at.map_or(1.0, |_| OVERLAP_RATE_SHARE);
-        self.limit_share.min(self.quota_share) * overlap
-    }
-
-    fn apply_rate_limit_share(&mut self, now: MonotonicTime) {
-        let share = self.rate_limit_share();
-        for pool in self.pools.values_mut() {
-            pool.set_rate_limit_share(now, share);
-        }
-    }
-
-    fn set_catalogue(&mut self, now: MonotonicTime, catalogue: &Catalogue) {
-        for service in &catalogue.services {
-            let pool = self.pools.entry(service.name.clone()).or_default();
-            pool.set_engine(service.engine);
-            pool.set_warm_up_rules(now, self.warm_up_rules);
-            pool.set_warm_up(now, service.warm_up);
-        }
-        let limits = catalogue
-            .accounts
-            .iter()
-            .filter_map(|account| Some((account.name.clone(), account.quota?)))
-            .collect();
-        self.quotas.set_limits(limits);
-    }
-
-    fn set_upstreams(&mut self, now: MonotonicTime, upstreams: Vec<Upstream>) {
-        let listed: HashSet<UpstreamId> = upstreams
-            .iter()
-            .map(|upstream| upstream.id.clone())
-            .collect();
-        self.notices
-            .forget_old(now, |upstream| listed.contains(upstream));
-        let mut by_service: HashMap<ServiceName, Vec<Upstream>> = HashMap::new();
-        for upstream in upstreams {
-            let service_upstreams = by_service.entry(upstream.service.clone()).or_default();
-            service_upstreams.push(upstream);
-        }
-        for name in by_service.keys() {
-            self.pools.entry(name.clone()).or_default();
-        }
-        let rate_limit_share = self.rate_limit_share();
-        for (name, pool) in &mut self.pools {
-            pool.set_upstreams(now, by_service.remove(name).unwrap_or_default());
-            pool.set_evacuated(now, &self.evacuated);
-            pool.set_rate_limit_share(now, rate_limit_share);
-            pool.apply_notices(now, &self.notices);
-        }
-        self.update_stream_sharing(now);
-        // Registry entries may name any service; dropping unused pools keeps them from accumulating.
-        self.pools.retain(|_, pool| !pool.is_unused());
-    }
-
     fn place_all_waiting(&mut self, now: MonotonicTime, effects: &mut Vec<Effect>) {
         for pool in self.pools.values_mut() {
             pool.place_waiting(now, effects);
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -100,10 +100,10 @@
 pub(crate) const CONTENT_CRASHES: usize = 4;
 
 /// Number of crashes from which requests with suspected content are sent one at a time.
-pub(crate) const CRASHES_BEFORE_CARE: usize = 2;
+pub(crate) const CRASHES_BEFORE_SERIALIZING: usize = 2;
 
-/// Evidence from which content is refused, as the natural logarithm: a probability of 1 in 100 that it was on board of the
-/// crashes by chance.
+/// Evidence from which content is refused, as the natural logarithm: a probability of 1 in 100 that it was being processed
+/// at the crashes by chance.
 pub(crate) const CONTENT_PROOF: f64 = 4.6;
 
 /// Time after a crash until the owner takes it as evidence. By then, runs that were about to begin have begun.
@@ -125,7 +125,7 @@
 /// Longest time between two crashes of one moment.
 pub(crate) const CRASH_MOMENT: Duration = Duration::from_millis(50);
 
-/// Time before and after a crash within which other crashes of the service make it less telling.
+/// Time before and after a crash within which other crashes of the service make it weaker evidence.
 pub(crate) const SIMULTANEOUS_CRASHES: Duration = Duration::from_millis(150);
 
 /// Time after the last crash from which one request with refused content is let through.
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -288,7 +288,7 @@
                     // Requests that need one version, or are sent one at a time, don't keep others from being examined.
                     let request = &self.queue.get(index).request;
                     let is_special = request.required_version().is_some()
-                        || !self.verdicts.care_in(request).is_empty();
+                        || !self.verdicts.serialized_content(request).is_empty();
                     index += 1;
                     skipped += usize::from(!is_special);
                 }
--- a/crates/dragonflystep_dispatch/src/pool/crashing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/crashing.rs
@@ -50,7 +50,7 @@
         now: MonotonicTime,
         request: &SlotRequest,
     ) -> bool {
-        let content = self.verdicts.care_in(request);
+        let content = self.verdicts.serialized_content(request);
         if content.is_empty() {
             return false;
         }
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod framing_check;
 mod held_bytes;
 mod job;
+mod job_end;
 mod limits;
 mod list_fetch;
 mod list_version;
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -101,7 +101,7 @@
 # Streams that began at one software version, and how long each of them may still be resumed.
 struct VersionStreams { version @0 :Text; streams @1 :List(UInt64); lifetimesMs @2 :List(UInt32); }
 
-# A crash of an upstream, with keys of the content of the runs on board that had not begun to answer.
+# A crash of an upstream, with keys of the content of the runs there that it had not begun to answer.
 struct UpstreamCrash {
   service @0 :Text;
   upstream @1 :Text;
