Try refused content after 15 s

On a version where everything crashes, the segment that all requests share is taken for the cause, and after the version was taken back the route stayed refused for the minute until the first trial. a_bad_version_of_all_engines_bars_nothing_for_long fails with a minute and passes with 15 s.

--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -128,8 +128,9 @@
 /// Time before and after a crash within which other crashes of the service make it weaker evidence.
 pub(crate) const SIMULTANEOUS_CRASHES: Duration = Duration::from_millis(150);
 
-/// Time after the last crash from which one request with refused content is let through.
-pub(crate) const FIRST_CONTENT_TRIAL: Duration = Duration::from_secs(60);
+/// Time after the last crash from which one request with refused content is let through. A version on which everything
+/// crashes is usually taken back within minutes, and until a trial shows it, the content of all requests is refused.
+pub(crate) const FIRST_CONTENT_TRIAL: Duration = Duration::from_secs(15);
 
 /// Longest time until such a trial.
 pub(crate) const MAX_CONTENT_TRIAL: Duration = Duration::from_secs(8 * 3_600);
@@ -155,7 +156,7 @@
 pub(crate) const LATE_FIRST_EVENT: Duration = Duration::from_millis(500);
 
 /// Retry-after time stated to the caller of a request with content that crashes upstreams.
-pub(crate) const CRASHING_CONTENT_RETRY_AFTER: Duration = Duration::from_secs(60);
+pub(crate) const CRASHING_CONTENT_RETRY_AFTER: Duration = Duration::from_secs(15);
 
 /// Largest number of refused requests that are remembered; about a megabyte.
 pub(crate) const MAX_REFUSED_REMEMBERED: usize = 16_384;
