--- a/crates/dragonflystep_dispatch/src/crash_log/verdict.rs
+++ b/crates/dragonflystep_dispatch/src/crash_log/verdict.rs
@@ -94,7 +94,7 @@
         let mut crashes_of = self.crashes_by_suspect();
         verdicts.suspected.extend(crashes_of.keys());
         // Other content of the same crashes is not counted as their cause.
-        while let Some(crashing) = self.most_likely(&crashes_of, settled_at, upstreams) {
+        while let Some(crashing) = self.find_cause(&crashes_of, settled_at, upstreams) {
             let explained: HashSet<usize> = crashing.crash_indices.iter().copied().collect();
             crashes_of.retain(|key, (_, crashes)| {
                 crashes.retain(|index| !explained.contains(index));
@@ -132,7 +132,7 @@
     }
 
     /// The content that explains most crashes, among that with enough evidence.
-    fn most_likely(
+    fn find_cause(
         &self,
         crashes_of: &BTreeMap<ContentKey, (ContentKind, Vec<usize>)>,
         settled_at: ObservedAt,
--- a/crates/dragonflystep_dispatch/tests/crashing_content.rs
+++ b/crates/dragonflystep_dispatch/tests/crashing_content.rs
@@ -225,6 +225,19 @@
     granted_upstream(request_slot(&mut owner, next_trial_at, request(7, &[BAD])));
 }
 
+#[test]
+fn an_owner_that_may_not_see_the_segments_of_a_prompt_refuses_it_too() {
+    let mut owner = owner();
+    let at = crash_in_a_row(&mut owner, START, 4, &[BAD]);
+    let mut redacted = SlotRequest {
+        allowed_data_centres: Some(vec!["a".into()]),
+        ..request(1, &[BAD])
+    };
+    redacted.redact_for(Some(&"b".into()));
+    let decision = request_slot(&mut owner, at, redacted);
+    assert_eq!(refusal(decision).reason, RefusalReason::CrashSuspect);
+}
+
 #[test]
 fn memory_and_messages_stay_bounded_when_all_prompts_crash() {
     let mut owner = owner();
