Read how engines transfer KV caches, and put answers that have begun before new requests

Nothing copies yet.

Cause: a stream that broke off on a resumable route asks for its next slot with an objective of zero, so any predicted wait refuses it, and its tier's new requests go before it. It now goes first within its tier and may wait until its caller gives up.

--- a/benches/benches/placing.rs
+++ b/benches/benches/placing.rs
@@ -6,8 +6,9 @@
 use {
     criterion::{BenchmarkId, Criterion},
     dragonflystep_dispatch::{
-        Dispatcher, Event, QuotaRules, RolloutRules, RunId, RunOutcome, RunReport, SharedLimits,
-        SlotDecision, SlotRequest, Upstream, UpstreamPhase, WarmUpRules, WorkSize,
+        CopyRules, Dispatcher, Event, QuotaRules, RolloutRules, RunId, RunOutcome, RunReport,
+        ShareRules, SharedLimits, SlotDecision, SlotRequest, Upstream, UpstreamPhase, WarmUpRules,
+        WorkSize,
     },
     std::{
         collections::VecDeque,
@@ -48,6 +49,8 @@
             exposed_slack: 50.0,
         },
         warm_up: WarmUpRules::default(),
+        copies: CopyRules::default(),
+        shares: ShareRules::default(),
     }
 }
 
@@ -86,6 +89,7 @@
         data_centre: "a".into(),
         allowed_data_centres: None,
         stream: None,
+        copy: None,
     }
 }
 
--- a/crates/dragonflystep_dispatch/src/catalogue.rs
+++ b/crates/dragonflystep_dispatch/src/catalogue.rs
@@ -110,6 +110,24 @@
     pub cache_tokens: u64,
     /// Number of output tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// How engines send the KV caches of their runs to one another; absent if they can't.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cache_transfer: Option<CacheTransfer>,
+}
+
+/// How the engines of a service send the KV caches of their runs to one another, so that a run can go on elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CacheTransfer {
+    /// Size of the KV cache, in bytes per token.
+    pub token_bytes: u32,
+    /// Rate of an engine's link for transfers, in megabits per second.
+    pub link_mbit_per_s: f64,
+    /// How long an engine keeps a copy after the last part of it arrived.
+    pub copy_lifetime: Duration,
+    /// Whether the cache of a run can be copied to another engine while it grows.
+    pub has_backups: bool,
+    /// Whether a run can be stopped and its cache moved to another engine.
+    pub has_moves: bool,
 }
 
 /// A client account with its keys, priority and quota.
--- a/crates/dragonflystep_dispatch/src/crash_log.rs
+++ b/crates/dragonflystep_dispatch/src/crash_log.rs
@@ -54,7 +54,7 @@
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
     ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9,
-    ///     shared_content: vec![4], data_centre: "a".into(), allowed_data_centres: None, stream: None,
+    ///     shared_content: vec![4], data_centre: "a".into(), allowed_data_centres: None, stream: None, copy: None,
     /// };
     /// let address = "127.0.0.1:80";
     /// assert_eq!(UpstreamCrash::of_run(&request, "u".into(), address, 0).segments, [4]);
--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -37,7 +37,7 @@
 /// # Examples
 /// ```
 /// use dragonflystep_dispatch::{
-///     Dispatcher, Event, QuotaRules, RolloutRules, SharedLimits, WarmUpRules,
+///     CopyRules, Dispatcher, Event, QuotaRules, RolloutRules, ShareRules, SharedLimits, WarmUpRules,
 /// };
 /// use std::time::Duration;
 ///
@@ -48,8 +48,10 @@
 /// };
 /// let rollout = RolloutRules { exposed_share: 0.1, exposed_slack: 50.0 };
 /// let warm_up = WarmUpRules { tolerated_ratio: 1.5, tolerated_requests: 5.0 };
-/// let limits =
-///     SharedLimits { retry_ratio: 0.2, retry_slack: 50.0, retry_window_s: 10, quota, rollout, warm_up };
+/// let limits = SharedLimits {
+///     retry_ratio: 0.2, retry_slack: 50.0, retry_window_s: 10, quota, rollout, warm_up,
+///     copies: CopyRules::default(), shares: ShareRules::default(),
+/// };
 /// let mut dispatcher = Dispatcher::new(limits);
 /// assert!(dispatcher.reduce(Duration::from_secs(1), Event::Ticked).is_empty());
 /// ```
--- a/crates/dragonflystep_dispatch/src/event.rs
+++ b/crates/dragonflystep_dispatch/src/event.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         catalogue::Catalogue,
+        copy_rules::CopyRules,
         crash_log::CrashEvidence,
         ids::{DataCentreName, RunId, ServiceName},
         messages::{ActiveRun, RunReport, SlotDecision, SlotRequest, UpstreamLoad},
@@ -11,6 +12,7 @@
         quota::QuotaRules,
         retry_budget::RetryLimits,
         rollout::{RolloutOrder, RolloutPhase, RolloutRules},
+        share_rules::ShareRules,
         stream_versions::StreamVersion,
         upstream::Upstream,
         usage::UsageReport,
@@ -34,6 +36,10 @@
     pub rollout: RolloutRules,
     /// How many requests a cold upstream may get.
     pub warm_up: WarmUpRules,
+    /// Which runs are copied to a second upstream.
+    pub copies: CopyRules,
+    /// How the accounts of a tier share a service that is full.
+    pub shares: ShareRules,
 }
 
 impl SharedLimits {
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 //! tests and in replays of recorded load.
 
 mod catalogue;
+mod copy_rules;
 mod crash_log;
 mod dispatcher;
 mod event;
@@ -30,6 +31,7 @@
 mod retry_budget;
 mod rollout;
 mod routing;
+mod share_rules;
 mod speed;
 mod stream_versions;
 mod upstream;
@@ -38,9 +40,10 @@
 
 pub use self::{
     catalogue::{
-        Account, AccountQuota, Catalogue, ClientLimits, Engine, QuotaUnit, Route, RouteKind,
-        Service, Target, WarmUp,
+        Account, AccountQuota, CacheTransfer, Catalogue, ClientLimits, Engine, QuotaUnit, Route,
+        RouteKind, Service, Target, WarmUp,
     },
+    copy_rules::CopyRules,
     crash_log::{CrashEvidence, SoundContent, UpstreamCrash},
     dispatcher::{ContentChange, Dispatcher},
     event::{Effect, Event, SharedLimits},
@@ -51,8 +54,9 @@
     },
     limits::SOUND_EVENTS,
     messages::{
-        ActiveRun, BackOff, Grant, PromptSegment, Refusal, RefusalReason, RunOutcome, RunReport,
-        SlotDecision, SlotRequest, StreamProgress, StreamTry, UpstreamLoad, WorkSize,
+        ActiveRun, BackOff, CopyTarget, Grant, PromptSegment, Refusal, RefusalReason, RunCopy,
+        RunOutcome, RunReport, SlotDecision, SlotRequest, StreamProgress, StreamTry, UpstreamLoad,
+        WorkSize,
     },
     notices::{NoticeKind, UpstreamNotice},
     ownership::{Member, Visibility, partition_limit_share, rank_owners},
@@ -60,6 +64,7 @@
     quota::QuotaRules,
     rollout::{RolloutOrder, RolloutPhase, RolloutRules, RolloutStep},
     routing::{RouteMatch, RoutingError, RoutingTable},
+    share_rules::ShareRules,
     stream_versions::StreamVersion,
     upstream::{Upstream, UpstreamPhase},
     usage::{AccountUsage, UsageLedger, UsageReport, UsageSlice},
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -94,6 +94,26 @@
     pub allowed_data_centres: Option<Vec<DataCentreName>>,
     /// The stream that the request begins or resumes; absent if the answer can't be resumed.
     pub stream: Option<StreamTry>,
+    /// The copy of the run's KV cache; absent if there is none.
+    pub copy: Option<RunCopy>,
+}
+
+/// A copy of a run's KV cache at another upstream than the one that runs the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunCopy {
+    /// The upstream that runs the request sends its cache to this one as it grows.
+    Kept(UpstreamId),
+    /// The upstream that ran the request broke off. The run goes on at this one, which holds the copy.
+    Continued(UpstreamId),
+}
+
+/// The upstream to which another one copies the KV cache of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopyTarget {
+    /// The upstream that gets the copy.
+    pub upstream: UpstreamId,
+    /// Address of the upstream, as IP:PORT.
+    pub address: String,
 }
 
 impl SlotRequest {
@@ -114,7 +134,7 @@
     ///     size: WorkSize { segments: vec![PromptSegment { id: 7, tokens: 60 }], ..WorkSize::default() },
     ///     previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
     ///     data_centre: "a".into(),
-    ///     allowed_data_centres: Some(vec!["a".into()]), stream: None,
+    ///     allowed_data_centres: Some(vec!["a".into()]), stream: None, copy: None,
     /// };
     /// request.redact_for(Some(&"a".into()));
     /// assert_eq!(request.size.segments.len(), 1);
@@ -143,7 +163,7 @@
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
     ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9,
-    ///     shared_content: vec![4, 5], data_centre: "a".into(), allowed_data_centres: None, stream: None,
+    ///     shared_content: vec![4, 5], data_centre: "a".into(), allowed_data_centres: None, stream: None, copy: None,
     /// };
     /// assert_eq!(request.content().collect::<Vec<_>>(), [4, 5, 9]);
     /// ```
@@ -167,7 +187,7 @@
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
     ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
-    ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream),
+    ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream), copy: None,
     /// };
     /// assert_eq!(request.stream_ids().collect::<Vec<_>>(), [3, 9]);
     /// ```
@@ -193,7 +213,7 @@
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
     ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
     ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
-    ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream),
+    ///     data_centre: "a".into(), allowed_data_centres: None, stream: Some(stream), copy: None,
     /// };
     /// assert_eq!(request.required_version().map(|version| &**version), Some("v2"));
     /// ```
@@ -211,6 +231,37 @@
             && version.is_none_or(|version| *version == upstream.version)
     }
 
+    /// The upstream at which the run goes on from a copy of its KV cache; absent if it does not.
+    ///
+    /// # Examples
+    /// ```
+    /// use dragonflystep_dispatch::{RunCopy, SlotRequest, WorkSize};
+    /// use std::time::Duration;
+    ///
+    /// let request = SlotRequest {
+    ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
+    ///     objective_left: Duration::ZERO, time_left: Duration::from_secs(4), longest_pause: None,
+    ///     size: WorkSize::default(), previous_attempts: 1, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
+    ///     data_centre: "a".into(), allowed_data_centres: None, stream: None,
+    ///     copy: Some(RunCopy::Continued("engine-2".into())),
+    /// };
+    /// assert_eq!(request.continues_at().map(|upstream| &**upstream), Some("engine-2"));
+    /// ```
+    pub fn continues_at(&self) -> Option<&UpstreamId> {
+        match &self.copy {
+            Some(RunCopy::Continued(upstream)) => Some(upstream),
+            _ => None,
+        }
+    }
+
+    /// Whether callers have received events of the run already, so that its next slot goes before those of new requests.
+    pub(crate) fn has_begun(&self) -> bool {
+        let stream = self.stream.as_ref();
+        let is_resumed =
+            stream.is_some_and(|stream| matches!(stream.progress, StreamProgress::Resumed { .. }));
+        is_resumed || self.continues_at().is_some()
+    }
+
     /// Whether the upstreams of a data centre may run the request.
     pub(crate) fn permits_data_centre(&self, data_centre: &DataCentreName) -> bool {
         let allowed = self.allowed_data_centres.as_ref();
@@ -229,6 +280,8 @@
     pub version: UpstreamVersion,
     /// Whether the owner waits to hear that the upstream has begun to answer, because the request holds suspected content.
     pub reports_begin: bool,
+    /// Where the upstream copies the KV cache of the run; absent if it is not copied.
+    pub copy: Option<CopyTarget>,
 }
 
 /// Why an owner refuses a slot request.
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -226,7 +226,7 @@
         let is_late = request.objective_left < time_to_first_event;
         // While no request waits, the estimate is needed only if this one gets no slot.
         let wait = (!self.queue.is_empty()).then(|| {
-            let work_ms = self.queue.work_ahead_ms(now, tier, is_late) + run_ms;
+            let work_ms = self.queue.work_ahead_ms(now, &request, is_late) + run_ms;
             self.estimate_wait(now, &request, run_ms, work_ms)
         });
         self.arrivals.record_arrival(now, request.tier, run_ms);
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -131,6 +131,7 @@
             address: entry.address.clone(),
             version: entry.version.clone(),
             reports_begin: self.verdicts.suspects(&request),
+            copy: None,
         };
         let run = request.run;
         self.granted_slots += 1;
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -29,8 +29,7 @@
         for queued in self.queue.take_expired(now) {
             self.refused
                 .record(now, &queued.request, queued.first_requested_at);
-            let tier = queued.request.tier;
-            let work_ms = self.queue.work_ahead_ms(now, tier, true) + queued.run_ms;
+            let work_ms = self.queue.work_ahead_ms(now, &queued.request, true) + queued.run_ms;
             let wait = self.estimate_wait(now, &queued.request, queued.run_ms, work_ms);
             effects.push(Effect {
                 run: queued.request.run,
--- a/crates/dragonflystep_dispatch/src/queue.rs
+++ b/crates/dragonflystep_dispatch/src/queue.rs
@@ -1,8 +1,9 @@
 //! The queue of a service: requests that wait for a slot, in the order in which they get one.
 //!
 //! It is designed for bursts of requests of all tiers while the upstreams are full. Higher tiers always go first.
-//! Within a tier, requests that can still be on time go before those that cannot. In order of arrival, an overload of a
-//! few seconds would make every request a little late, and no request would meet its objective.
+//! Within a tier, streams that broke off after their callers had received events go first: a refusal would end an answer
+//! that has begun. Then requests that can still be on time go before those that cannot. In order of arrival, an overload
+//! of a few seconds would make every request a little late, and no request would meet its objective.
 
 use {
     crate::{
@@ -52,13 +53,17 @@
     sorted_at: MonotonicTime,
 }
 
-/// Sort key of the queue: by tier, then requests that can be on time, then late ones that were refused before, then
-/// the other late ones; ties go by the time at which they are late.
-fn priority_key(queued: &QueuedRequest, now: MonotonicTime) -> (Tier, bool, bool, MonotonicTime) {
+/// Sort key of the queue: by tier, then answers that have begun, then requests that can be on time, then late ones that
+/// were refused before, then the other late ones; ties go by the time at which they are late.
+fn priority_key(
+    queued: &QueuedRequest,
+    now: MonotonicTime,
+) -> (Tier, bool, bool, bool, MonotonicTime) {
     let is_late = queued.is_late(now);
     let is_late_first_try = is_late && !queued.was_refused;
     (
         queued.request.tier,
+        !queued.request.has_begun(),
         is_late,
         is_late_first_try,
         queued.objective_at,
@@ -134,15 +139,28 @@
             .sort_by_cached_key(|queued| priority_key(queued, now));
     }
 
-    /// Returns the work that is served before a new request of `tier`, in milliseconds of one slot.
+    /// Returns the work that is served before a new request, in milliseconds of one slot.
     ///
     /// Late requests of the same tier are not served before a request that can be on time, so they do not count for it.
-    /// Counting them would refuse requests that could be served on time, and those would then come back late.
-    pub(crate) fn work_ahead_ms(&self, now: MonotonicTime, tier: Tier, is_late: bool) -> f64 {
-        let before = self.waiting.iter().filter(|queued| {
-            queued.request.tier < tier
-                || queued.request.tier == tier && (is_late || !queued.is_late(now))
-        });
+    /// Counting them would refuse requests that could be served on time, and those would then come back late. Neither do
+    /// new requests count for an answer that has begun.
+    pub(crate) fn work_ahead_ms(
+        &self,
+        now: MonotonicTime,
+        request: &SlotRequest,
+        is_late: bool,
+    ) -> f64 {
+        let is_before = |queued: &QueuedRequest| {
+            if queued.request.tier != request.tier {
+                return queued.request.tier < request.tier;
+            }
+            match (queued.request.has_begun(), request.has_begun()) {
+                (true, false) => true,
+                (false, true) => false,
+                _ => is_late || !queued.is_late(now),
+            }
+        };
+        let before = self.waiting.iter().filter(|queued| is_before(queued));
         before.map(|queued| queued.run_ms).sum()
     }
 }
--- a/crates/dragonflystep_dispatch/src/refusal.rs
+++ b/crates/dragonflystep_dispatch/src/refusal.rs
@@ -67,12 +67,16 @@
 /// Returns the longest time that a request may wait, given the time from its slot to its first event.
 ///
 /// A new request that cannot be served on time is better refused at once with a retry-after time. A request that was
-/// refused before may wait longer, since a second refusal leaves its caller no time for a third try.
+/// refused before may wait longer, since a second refusal leaves its caller no time for a third try. An answer that has
+/// begun may wait until its caller gives up: a refusal would end it.
 pub(crate) fn longest_wait(
     request: &SlotRequest,
     was_refused: bool,
     time_to_first_event: Duration,
 ) -> Duration {
+    if request.has_begun() {
+        return request.time_left;
+    }
     if was_refused {
         return request.time_left.mul_f64(MAX_RETURNED_WAIT_SHARE);
     }
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -16,9 +16,9 @@
         kinds::RequestKind,
     },
     dragonflystep_dispatch::{
-        Catalogue, Dispatcher, Engine, Event, QuotaRules, Refusal, RefusalReason, RolloutRules,
-        RunId, RunOutcome, RunReport, Service, SharedLimits, SlotDecision, SlotRequest, Upstream,
-        UpstreamPhase, WarmUpRules, WorkSize,
+        Catalogue, CopyRules, Dispatcher, Engine, Event, QuotaRules, Refusal, RefusalReason,
+        RolloutRules, RunId, RunOutcome, RunReport, Service, ShareRules, SharedLimits,
+        SlotDecision, SlotRequest, Upstream, UpstreamPhase, WarmUpRules, WorkSize,
     },
     std::{
         collections::{BTreeMap, BinaryHeap, HashMap},
@@ -132,6 +132,8 @@
             tolerated_ratio: 1.5,
             tolerated_requests: 5.0,
         },
+        copies: CopyRules::default(),
+        shares: ShareRules::default(),
     }
 }
 
@@ -160,6 +162,7 @@
                 slots,
                 cache_tokens: 700_000,
                 tokens_per_event: 4,
+                cache_transfer: None,
             }),
             warm_up: None,
         }],
@@ -203,6 +206,7 @@
         data_centre: "a".into(),
         allowed_data_centres: None,
         stream: None,
+        copy: None,
     }
 }
 
--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -44,6 +44,41 @@
     pub account: Option<&'a AccountName>,
     /// The id of the event after which the upstream is to continue a stream; none for a new stream.
     pub resume_after: Option<&'a str>,
+    /// Address of the upstream to which this one copies the KV cache of the run, as IP:PORT; none to copy nothing.
+    pub copy_to: Option<&'a str>,
+    /// The copy from which this upstream goes on with the run; none to start anew.
+    pub continues_from: Option<CopyLocation<'a>>,
+}
+
+/// Where the copy of a run's KV cache is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyLocation<'a> {
+    /// Address of the upstream that names the copy, as IP:PORT.
+    pub address: &'a str,
+    /// The name of the copy at that upstream: the id of the request, or what the upstream answered when it stopped the run.
+    pub name: &'a str,
+}
+
+/// The call that stops the run of a request at an upstream and sends its KV cache to another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StopRunCall {
+    /// Path of the call, which is a `POST`.
+    pub path: &'static str,
+    /// Type of the body.
+    pub content_type: &'static str,
+    /// Body of the call.
+    pub body: Bytes,
+}
+
+/// What an upstream answers when it is to stop a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunStop {
+    /// It has no such run.
+    NotRunning,
+    /// It stopped the run. Its KV cache is named so at the upstream that stopped it, and is at the other one.
+    Moved(String),
+    /// The answer does not tell whether the run was stopped.
+    Unclear,
 }
 
 /// A value that an upstream may state in the head of an answer.
@@ -136,6 +171,12 @@
         retry_after: Option<Duration>,
     );
 
+    /// The call that stops the run of a request, and sends its KV cache to the upstream at `copy_to`.
+    fn stop_run_call(&self, request_id: &str, copy_to: &str) -> StopRunCall;
+
+    /// Reads the answer to a [`stop_run_call`](Self::stop_run_call).
+    fn read_run_stop(&self, status: StatusCode, body: &[u8]) -> RunStop;
+
     /// Whether a request is a readiness probe.
     fn is_readiness_probe(&self, method: &Method, uri: &Uri) -> bool;
 
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -185,6 +185,7 @@
             data_centre: self.node.settings.data_centre.clone(),
             allowed_data_centres: self.allowed_data_centres.clone(),
             stream: self.stream_try(attempts),
+            copy: None,
         }
     }
 
@@ -363,6 +364,8 @@
             upstream,
             account: self.account.as_ref().map(|account| &account.name),
             resume_after,
+            copy_to: None,
+            continues_from: None,
         };
         let headers = end_to_end_headers(&self.headers);
         let mut headers = self.node.dialect.upstream_headers(&headers, &facts);
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -59,7 +59,8 @@
     answer::{AnswerBody, IncompleteAnswer, end_to_end_headers},
     burn::{EdgeBurnReport, RouteBurn},
     dialect::{
-        AnswerFacts, Dialect, DialectError, DirectoryQuery, RequestFacts, Stated, UpstreamFacts,
+        AnswerFacts, CopyLocation, Dialect, DialectError, DirectoryQuery, RequestFacts, RunStop,
+        Stated, StopRunCall, UpstreamFacts,
     },
     held_bytes::HeldChunk,
     limits::OWNER_FEED_WAIT,
--- a/crates/dragonflystep_edge/src/settings_file.rs
+++ b/crates/dragonflystep_edge/src/settings_file.rs
@@ -3,7 +3,8 @@
 use {
     crate::{limits::DEFAULT_MEMORY_BYTES, settings::NodeSettings},
     dragonflystep_dispatch::{
-        DataCentreName, NodeName, QuotaRules, RegionName, RolloutRules, SharedLimits, WarmUpRules,
+        CopyRules, DataCentreName, NodeName, QuotaRules, RegionName, RolloutRules, ShareRules,
+        SharedLimits, WarmUpRules,
     },
     serde::Deserialize,
     std::{
@@ -68,6 +69,12 @@
     /// May be absent if no service has a warm-up.
     #[serde(default)]
     warm_up: WarmUp,
+    /// May be absent; then the defaults apply.
+    #[serde(default)]
+    run_copies: RunCopies,
+    /// May be absent; then the defaults apply.
+    #[serde(default)]
+    account_shares: AccountShares,
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     first_start: bool,
@@ -135,6 +142,42 @@
     }
 }
 
+/// Which runs are copied to a second upstream, where the engines of the service can do that.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+struct RunCopies {
+    min_break_probability: f64,
+    max_memory_share: f64,
+}
+
+impl Default for RunCopies {
+    fn default() -> Self {
+        let rules = CopyRules::default();
+        Self {
+            min_break_probability: rules.min_break_probability,
+            max_memory_share: rules.max_memory_share,
+        }
+    }
+}
+
+/// How the accounts of a tier share a service that is full.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+struct AccountShares {
+    enabled: bool,
+    memory_s: f64,
+}
+
+impl Default for AccountShares {
+    fn default() -> Self {
+        let rules = ShareRules::default();
+        Self {
+            enabled: rules.is_enabled,
+            memory_s: rules.memory.as_secs_f64(),
+        }
+    }
+}
+
 /// Reads the settings of a node. The second value is the part for the adapter of the platform.
 ///
 /// # Errors
@@ -195,6 +238,14 @@
                 tolerated_ratio: file.warm_up.tolerated_ratio,
                 tolerated_requests: file.warm_up.tolerated_requests,
             },
+            copies: CopyRules {
+                min_break_probability: file.run_copies.min_break_probability,
+                max_memory_share: file.run_copies.max_memory_share,
+            },
+            shares: ShareRules {
+                is_enabled: file.account_shares.enabled,
+                memory: Duration::from_secs_f64(file.account_shares.memory_s),
+            },
         },
         stop_grace: Duration::from_secs_f64(file.stop_grace_s),
         address_lifetime: MAX_ADDRESS_LIFETIME
@@ -282,6 +333,21 @@
             "warm_up.tolerated_requests",
             "must be 0 or more",
         ),
+        (
+            !(0.0..=1.0).contains(&file.run_copies.min_break_probability),
+            "run_copies.min_break_probability",
+            "must be 0 to 1",
+        ),
+        (
+            !(0.0..=1.0).contains(&file.run_copies.max_memory_share),
+            "run_copies.max_memory_share",
+            "must be 0 to 1",
+        ),
+        (
+            !(0.1..=3_600.0).contains(&file.account_shares.memory_s),
+            "account_shares.memory_s",
+            "must be 0.1 to 3600 seconds",
+        ),
         (
             !is_duration(file.retries.window_s),
             "retries.window_s",
--- a/crates/dragonflystep_peer/schema/peer.capnp
+++ b/crates/dragonflystep_peer/schema/peer.capnp
@@ -37,6 +37,10 @@
   sawSeveralVersions @22 :Bool;
   # Keys of the prompt segments that other requests may share.
   sharedContent @23 :List(UInt64);
+  # The upstream that holds a copy of the run's KV cache; empty without one.
+  copyUpstream @24 :Text;
+  # Whether the run goes on from the copy.
+  isContinued @25 :Bool;
 }
 
 enum RefusalReason {
@@ -45,7 +49,7 @@
 
 struct Verdict {
   union {
-    granted :group { upstream @0 :Text; address @1 :Text; version @4 :Text; reportsBegin @5 :Bool; }
+    granted :group { upstream @0 :Text; address @1 :Text; version @4 :Text; reportsBegin @5 :Bool; copyUpstream @6 :Text; copyAddress @7 :Text; }
     refused :group { reason @2 :RefusalReason; retryAfterUs @3 :UInt64; }
   }
 }
--- a/crates/dragonflystep_peer/src/codec.rs
+++ b/crates/dragonflystep_peer/src/codec.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Digest, Evacuations, ListName, ListPiece, ListPieceRequest, PeerError,
+        copy_codec::{decode_copy_target, decode_run_copy, encode_run_copy},
         crash_codec::{decode_evidence, encode_evidence, encode_keys},
         notice_codec::{decode_notices, encode_notices},
         peer_capnp::{
@@ -57,7 +58,10 @@
         encode_text_list(allowed, names);
     }
     if let Some(stream) = &request.stream {
-        encode_stream_try(stream, out);
+        encode_stream_try(stream, out.reborrow());
+    }
+    if let Some(copy) = &request.copy {
+        encode_run_copy(copy, out);
     }
 }
 
@@ -100,6 +104,7 @@
             None
         },
         stream: decode_stream_try(input)?,
+        copy: decode_run_copy(input)?,
     })
 }
 
@@ -119,6 +124,10 @@
             granted.set_address(&*grant.address);
             granted.set_version(&*grant.version);
             granted.set_reports_begin(grant.reports_begin);
+            if let Some(copy) = &grant.copy {
+                granted.set_copy_upstream(&*copy.upstream);
+                granted.set_copy_address(&*copy.address);
+            }
         }
         SlotDecision::Refused(refusal) => {
             let mut refused = out.init_refused();
@@ -135,6 +144,10 @@
             address: granted.get_address()?.to_str()?.to_owned(),
             version: granted.get_version()?.to_str()?.into(),
             reports_begin: granted.get_reports_begin(),
+            copy: decode_copy_target(
+                granted.get_copy_upstream()?.to_str()?,
+                granted.get_copy_address()?.to_str()?,
+            ),
         }),
         verdict::Which::Refused(refused) => SlotDecision::Refused(Refusal {
             reason: decode_reason(refused.get_reason()?),
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -9,6 +9,7 @@
 //! A node that can't reach an upstream connects to it through another node ([`open_tunnel`]).
 
 mod codec;
+mod copy_codec;
 mod crash_codec;
 mod error;
 mod generated;
