Copy runs to a second engine while engines break off, and let them go on there

Cause: a stream whose engine crashes is cut unless its route may be repeated, whatever the engine's memory could have kept of it. The owner now chooses a second engine for runs that are likely enough to be lost (rate of breaks over the last 10 s, predicted length, tier, whether the answer may be repeated), counts the memory there, and grants the slot at which a broken run goes on. The entry node first has the source stop the run, or finds that nothing listens there; where it can't know, the stream ends as before.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        copy_rules::CopyRules,
         crash_log::{CrashLog, Verdicts},
         event::{Effect, Event, SharedLimits},
         ids::{DataCentreName, MonotonicTime, NodeIncarnation, RunId, ServiceName, UpstreamId},
@@ -74,6 +75,7 @@
     content_changes: Vec<ContentChange>,
     rollout_rules: RolloutRules,
     warm_up_rules: WarmUpRules,
+    copy_rules: CopyRules,
     /// Data centres whose upstreams get no requests.
     evacuated: BTreeSet<DataCentreName>,
     rollout_steps: Vec<RolloutStep>,
@@ -107,6 +109,7 @@
             content_changes: Vec::new(),
             rollout_rules: limits.rollout,
             warm_up_rules: limits.warm_up,
+            copy_rules: limits.copies,
             evacuated: BTreeSet::new(),
             rollout_steps: Vec::new(),
             back_offs: Vec::new(),
@@ -154,7 +157,9 @@
                 self.quotas.set_rules(limits.quota);
                 self.rollout_rules = limits.rollout;
                 self.warm_up_rules = limits.warm_up;
+                self.copy_rules = limits.copies;
                 for pool in self.pools.values_mut() {
+                    pool.set_copy_rules(limits.copies);
                     pool.set_warm_up_rules(now, limits.warm_up);
                 }
             }
--- a/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
@@ -32,6 +32,7 @@
         for service in &catalogue.services {
             let pool = self.pools.entry(service.name.clone()).or_default();
             pool.set_engine(service.engine);
+            pool.set_copy_rules(self.copy_rules);
             pool.set_warm_up_rules(now, self.warm_up_rules);
             pool.set_warm_up(now, service.warm_up);
         }
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -8,11 +8,13 @@
 //! [`Event`]s together with the time at which they happened and returns [`Effect`]s. The same code runs in a node, in
 //! tests and in replays of recorded load.
 
+mod break_rate;
 mod catalogue;
 mod copy_rules;
 mod crash_log;
 mod dispatcher;
 mod event;
+mod held_copies;
 mod ids;
 mod limits;
 mod messages;
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -161,6 +161,24 @@
 /// Largest number of refused requests that are remembered; about a megabyte.
 pub(crate) const MAX_REFUSED_REMEMBERED: usize = 16_384;
 
+/// Time constant of the mean rate at which upstreams break off.
+pub(crate) const BREAK_RATE_WINDOW: Duration = Duration::from_secs(10);
+
+/// Number of upstreams that are compared for a copy; the best of a few random ones spreads copies evenly.
+pub(crate) const COPY_CANDIDATES: usize = 16;
+
+/// Factor from one tier to the next by which the loss of a run has to be likelier for the run to be worth a copy.
+pub(crate) const COPY_TIER_FACTOR: f64 = 2.0;
+
+/// The same factor for runs that may be repeated elsewhere: without a copy they lose time but seldom the answer.
+pub(crate) const REPEATABLE_COPY_FACTOR: f64 = 2.0;
+
+/// Failure rate from which on an upstream gets no copies.
+pub(crate) const MAX_COPY_FAILURE_RATE: f64 = 0.5;
+
+/// Largest number of runs at an upstream that another one goes on at, per slot; the rest wait there for a slot.
+pub(crate) const MAX_CONTINUED_PER_SLOT: u32 = 2;
+
 /// Share of the permitted retries that one owner grants; the rest covers a change of owner.
 pub(crate) const RETRY_BUDGET_USE: f64 = 0.7;
 
--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -193,20 +193,20 @@
     pause_ms > to_ms(strictest_limit) * MAX_PREDICTED_PAUSE_SHARE
 }
 
-/// Whether the engine's memory does not hold the request beside its runs. An engine that runs out of memory preempts runs
+/// Whether the engine's memory does not hold the request beside its runs and the copies of others. An engine that runs out of memory preempts runs
 /// and reads their prompts again, or crashes.
 fn exceeds_memory(request: &SlotRequest, upstream: &LiveUpstream, model: ServiceModel<'_>) -> bool {
     let Some(memory_tokens) = model.memory_tokens.filter(|_| !upstream.runs.is_empty()) else {
         return false;
     };
     let requests = upstream.runs.values().map(|run| &run.request);
-    let tokens: u64 = requests
+    let run_tokens: u64 = requests
         .chain([request])
         .map(|request| {
             u64::from(request.size.prompt_tokens) + u64::from(request.size.output_tokens)
         })
         .sum();
-    tokens > memory_tokens
+    run_tokens + upstream.copies.tokens() > memory_tokens
 }
 
 /// Returns a pseudo-random number from 0 to 1 that is the same each time for a run and an upstream.
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -1,6 +1,7 @@
 //! The state of one service at its owner: its upstreams, its queue, and what was learned from earlier runs.
 
 mod candidates;
+mod copying;
 mod crashing;
 mod placing;
 mod refusing;
@@ -18,7 +19,9 @@
         placing::Choice,
     },
     crate::{
+        break_rate::BreakRate,
         catalogue::{Engine, WarmUp},
+        copy_rules::CopyRules,
         crash_log::Verdicts,
         event::Effect,
         ids::{MonotonicTime, RunId, Tier, UpstreamId, UpstreamVersion},
@@ -90,6 +93,9 @@
     granted_streams: Vec<StreamVersion>,
     /// What is known of content that crashes upstreams.
     verdicts: Rc<Verdicts>,
+    /// How often its upstreams break off.
+    break_rate: BreakRate,
+    copy_rules: CopyRules,
 }
 
 impl ServicePool {
@@ -209,6 +215,10 @@
         mut request: SlotRequest,
         effects: &mut Vec<Effect>,
     ) {
+        if let Some(target) = request.continues_at().cloned() {
+            self.continue_run(now, request, &target, effects);
+            return;
+        }
         if self.is_unservable(&request) {
             self.refuse_new(now, &request, RefusalReason::NoUpstream, effects);
             return;
--- a/crates/dragonflystep_dispatch/src/pool/candidates.rs
+++ b/crates/dragonflystep_dispatch/src/pool/candidates.rs
@@ -59,7 +59,7 @@
         self.examined.take()
     }
 
-    fn draw(&self, count: usize) -> usize {
+    pub(super) fn draw(&self, count: usize) -> usize {
         let next = self
             .random
             .get()
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -4,11 +4,11 @@
     super::{ServicePool, candidates::FreeUpstreams},
     crate::{
         event::Effect,
-        ids::MonotonicTime,
+        ids::{MonotonicTime, UpstreamId},
         limits::{
             CLEARLY_FASTER_RATIO, IDLE_RUN_COST_SHARE, PLENTIFUL_SLOTS_SHARE, RUN_COST_SHARE,
         },
-        messages::{Grant, SlotDecision, SlotRequest},
+        messages::{CopyTarget, Grant, SlotDecision, SlotRequest},
         placement::{Prediction, ServiceModel, choose},
         queue::QueuedRequest,
         stream_versions::StreamVersion,
@@ -125,19 +125,32 @@
         index: usize,
         prediction: Prediction,
     ) -> Effect {
+        let copy = self.choose_copy(now, &request, index, &prediction);
+        let target = copy.as_ref().map(|copy| {
+            let entry = &self.upstreams[copy.index].entry;
+            CopyTarget {
+                upstream: entry.id.clone(),
+                address: entry.address.clone(),
+            }
+        });
         let entry = &self.upstreams[index].entry;
         let grant = Grant {
             upstream: entry.id.clone(),
             address: entry.address.clone(),
             version: entry.version.clone(),
             reports_begin: self.verdicts.suspects(&request),
-            copy: None,
+            copy: target,
         };
         let run = request.run;
         self.granted_slots += 1;
         self.granted_at.insert(request.tier, now);
         self.upstreams[index].record_sent(now);
-        self.start_run(now, request, index, prediction);
+        let ends_at = prediction.end_at.max(now + request.time_left);
+        let copied_to = grant.copy.as_ref().map(|copy| copy.upstream.clone());
+        if let Some(copy) = &copy {
+            self.start_copy(run, copy, ends_at);
+        }
+        self.start_run(now, request, index, prediction, copied_to);
         Effect {
             run,
             decision: SlotDecision::Granted(grant),
@@ -151,6 +164,7 @@
         request: SlotRequest,
         index: usize,
         prediction: Prediction,
+        copied_to: Option<UpstreamId>,
     ) {
         let upstream = &mut self.upstreams[index];
         if let Some(stream) = &request.stream {
@@ -168,6 +182,7 @@
             end_expected_at: prediction.end_at,
             is_overdue: false,
             began_cold: upstream.is_cold(at),
+            copied_to,
             request,
         };
         self.run_index.insert(run.request.run, index);
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -6,7 +6,7 @@
     crate::{
         ids::{MonotonicTime, UpstreamId},
         limits::MAX_SUSPENDED_SHARE,
-        messages::{ActiveRun, BackOff, RunOutcome, RunReport, SlotRequest, UpstreamLoad},
+        messages::{ActiveRun, BackOff, RunCopy, RunOutcome, RunReport, SlotRequest, UpstreamLoad},
         placement::predict,
     },
 };
@@ -43,6 +43,10 @@
         let upstream = &mut self.upstreams[index];
         let run = upstream.runs.remove(&report.run)?;
         self.search.note_freed(index);
+        if report.outcome == RunOutcome::Broken {
+            let last_break_at = upstream.last_break_at.replace(now);
+            self.break_rate.record(now, last_break_at);
+        }
         if let Some(duration) = upstream.record_outcome(now, report.outcome, may_back_off) {
             self.back_offs.push(BackOff {
                 upstream: upstream.entry.id.clone(),
@@ -58,6 +62,7 @@
             self.assume_restarted(now, index);
         }
         self.observe_for_rollout(index, &run, report);
+        self.end_copy(now, &run, report.outcome);
         let upstream = &mut self.upstreams[index];
         if report.outcome == RunOutcome::Completed {
             self.refused.forget(run.request.fingerprint);
@@ -112,6 +117,12 @@
             &self.upstreams[index],
             self.model(),
         );
-        self.start_run(started_at, active_run.request, index, prediction);
+        let copied_to = match &active_run.request.copy {
+            Some(RunCopy::Kept(upstream)) => Some(upstream.clone()),
+            _ => None,
+        };
+        let ends_at = prediction.end_at.max(now + active_run.request.time_left);
+        self.adopt_copy(&active_run.request, ends_at);
+        self.start_run(started_at, active_run.request, index, prediction, copied_to);
     }
 }
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        held_copies::HeldCopies,
         ids::{DataCentreName, MonotonicTime, RunId, ServiceName, UpstreamId, UpstreamVersion},
         limits::{
             DEFAULT_SLOTS, FAILURES_BEFORE_BACK_OFF, FOREIGN_LOAD_MEMORY, INITIAL_BACK_OFF,
@@ -64,6 +65,8 @@
     pub(crate) is_overdue: bool,
     /// Whether the upstream was cold when the run began.
     pub(crate) began_cold: bool,
+    /// The upstream to which the run is copied; absent if it is not.
+    pub(crate) copied_to: Option<UpstreamId>,
 }
 
 /// An upstream with everything that its owner knows about it.
@@ -73,6 +76,10 @@
     pub(crate) runs: HashMap<RunId, Run>,
     pub(crate) speed: Speed,
     pub(crate) prefix_cache: PrefixCache,
+    /// Copies of runs at other upstreams.
+    pub(crate) copies: HeldCopies,
+    /// When runs there last broke off.
+    pub(crate) last_break_at: Option<MonotonicTime>,
     /// Exponentially weighted share of its recent runs that failed.
     pub(crate) failure_rate: f64,
     /// Number of canaries that it got.
@@ -111,6 +118,8 @@
             runs: HashMap::new(),
             speed,
             prefix_cache: PrefixCache::new(cache_tokens),
+            copies: HeldCopies::default(),
+            last_break_at: None,
             failure_rate: 0.0,
             canaries: 0,
             foreign_runs: 0,
@@ -400,6 +409,7 @@
     /// Drops runs whose end was never reported. A run is kept past its predicted end for [`LOST_RUN_GRACE`], or for the
     /// time that its caller had left if that is shorter.
     pub(crate) fn forget_old_runs(&mut self, now: MonotonicTime) {
+        self.copies.expire(now);
         self.runs
             .retain(|_, run| now < run.end_expected_at + run.request.time_left.min(LOST_RUN_GRACE));
     }
--- a/crates/dragonflystep_edge/src/attempts.rs
+++ b/crates/dragonflystep_edge/src/attempts.rs
@@ -5,7 +5,7 @@
         job::Job,
         slots::{Slot, acquire_slot},
     },
-    dragonflystep_dispatch::{Refusal, UpstreamId, UpstreamVersion},
+    dragonflystep_dispatch::{Grant, Refusal, UpstreamId, UpstreamVersion},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -25,6 +25,14 @@
     tried: Vec<UpstreamId>,
     /// Software version of the upstream whose events the caller received; none before the first event.
     pub(crate) stream_version: Option<UpstreamVersion>,
+    /// When the latest event of an upstream arrived; none before the first one.
+    pub(crate) last_event_at: Option<Instant>,
+    /// The slot of the latest dispatch.
+    pub(crate) last_grant: Option<Grant>,
+    /// The upstream at which the next attempt goes on from a copy of the run; none if it does not.
+    pub(crate) continues_at: Option<UpstreamId>,
+    /// Whether the run went on from a copy already.
+    pub(crate) has_continued: bool,
 }
 
 impl Attempts {
@@ -59,9 +67,10 @@
         self.sent -= 1;
     }
 
-    /// Counts an attempt at an upstream.
-    pub(crate) fn count_sent(&mut self, upstream: &UpstreamId) {
+    /// Counts an attempt at the upstream of a slot.
+    pub(crate) fn count_sent(&mut self, grant: &Grant) {
         self.sent += 1;
-        self.tried.push(upstream.clone());
+        self.tried.push(grant.upstream.clone());
+        self.last_grant = Some(grant.clone());
     }
 }
--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -73,7 +73,7 @@
 /// What an upstream answers when it is to stop a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunStop {
-    /// It has no such run.
+    /// It does not run the request, or stopped it and kept the KV cache.
     NotRunning,
     /// It stopped the run. Its KV cache is named so at the upstream that stopped it, and is at the other one.
     Moved(String),
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -9,6 +9,7 @@
     crate::{
         answer::{AnswerBody, end_to_end_headers},
         attempts::Attempts,
+        continuation::{CopyName, ResumePoint},
         dialect::{AnswerFacts, RequestFacts, UpstreamFacts},
         held_bytes::Hold,
         limits::{LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS},
@@ -21,8 +22,8 @@
     },
     bytes::Bytes,
     dragonflystep_dispatch::{
-        Account, ContentKey, DataCentreName, Route, RouteKind, RunOutcome, ServiceName,
-        SlotRequest, Tier, UpstreamId,
+        Account, ContentKey, DataCentreName, Grant, Route, RouteKind, RunCopy, RunOutcome,
+        ServiceName, SlotRequest, Tier,
     },
     http::{HeaderMap, Method, Request, Response, Uri, header},
     http_body_util::{BodyExt, Full},
@@ -160,6 +161,14 @@
         })
     }
 
+    /// Time until the caller gives up on a stream that has begun, unless another event arrives.
+    fn next_event_wait_left(&self, last_event_at: Instant) -> Duration {
+        let timeout = self.node.dialect.first_event_timeout(&self.route);
+        timeout.map_or(Duration::MAX, |timeout| {
+            timeout.saturating_sub(last_event_at.elapsed())
+        })
+    }
+
     /// The slot request for the next attempt.
     pub(crate) fn slot_request(&self, attempts: &Attempts) -> SlotRequest {
         let longest_pause = match self.route.kind {
@@ -167,6 +176,16 @@
             RouteKind::Idempotent | RouteKind::NonIdempotent => None,
         };
         let account = self.account.as_ref();
+        let (objective_left, event_wait_left) = match (attempts.last_event_at, longest_pause) {
+            (Some(last), Some(pause)) => (
+                pause.saturating_sub(last.elapsed()),
+                self.next_event_wait_left(last),
+            ),
+            _ => (
+                self.route.objective.saturating_sub(self.arrived.elapsed()),
+                self.first_event_wait_left(),
+            ),
+        };
         SlotRequest {
             run: self.node.next_run(),
             service: self.service.clone(),
@@ -174,8 +193,8 @@
             account: account.map(|account| account.name.clone()),
             quota_units: self.quota_units,
             tier: self.tier,
-            objective_left: self.route.objective.saturating_sub(self.arrived.elapsed()),
-            time_left: self.time_left().min(self.first_event_wait_left()),
+            objective_left,
+            time_left: self.time_left().min(event_wait_left),
             longest_pause,
             size: self.facts.size.clone(),
             previous_attempts: attempts.sent,
@@ -185,15 +204,16 @@
             data_centre: self.node.settings.data_centre.clone(),
             allowed_data_centres: self.allowed_data_centres.clone(),
             stream: self.stream_try(attempts),
-            copy: None,
+            copy: attempts.continues_at.clone().map(RunCopy::Continued),
         }
     }
 
     /// Sends the request to the upstream of its slot.
     ///
     /// A non-idempotent request is sent by a task of its own, so that it is not cancelled when its caller disconnects.
-    async fn send(self: Rc<Self>, attempts: &mut Attempts, slot: Slot) -> DispatchOutcome {
-        attempts.count_sent(&slot.grant.upstream);
+    async fn send(self: Rc<Self>, attempts: &mut Attempts, mut slot: Slot) -> DispatchOutcome {
+        slot.drop_unusable_copy();
+        attempts.count_sent(&slot.grant);
         let outcome = if self.route.kind == RouteKind::NonIdempotent {
             let task = spawn_local(self.send_once(slot, None));
             task.await
@@ -207,12 +227,11 @@
         outcome
     }
 
-    /// Sends the request once. To continue an interrupted stream, `resume_after` names the last event that was
-    /// received.
+    /// Sends the request once. To continue an interrupted stream, `resume` states from where.
     pub(crate) async fn send_once(
         self: Rc<Self>,
         slot: Slot,
-        resume_after: Option<String>,
+        resume: Option<ResumePoint>,
     ) -> DispatchOutcome {
         if !confirm_upstream(&self.node, &self.service, &slot.grant).await {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream does not confirm that it takes requests, and nobody else is heard");
@@ -239,7 +258,7 @@
             slot.return_unused();
             return DispatchOutcome::NotRun(WITHHELD);
         }
-        let request = self.upstream_request(&slot.grant.upstream, resume_after.as_deref());
+        let request = self.upstream_request(&slot.grant, resume.as_ref());
         let address = slot.grant.address.clone();
         let time_limit = self.time_left() + LATE_ANSWER_MARGIN;
         let sent_at = Instant::now();
@@ -356,16 +375,17 @@
     /// The request as it is sent to an upstream: without hop-by-hop headers, with those that the dialect adds.
     fn upstream_request(
         &self,
-        upstream: &UpstreamId,
-        resume_after: Option<&str>,
+        grant: &Grant,
+        resume: Option<&ResumePoint>,
     ) -> Request<Full<Bytes>> {
+        let copy = resume.and_then(|resume| resume.copy.as_ref());
         let facts = UpstreamFacts {
             time_left: self.time_left(),
-            upstream,
+            upstream: &grant.upstream,
             account: self.account.as_ref().map(|account| &account.name),
-            resume_after,
-            copy_to: None,
-            continues_from: None,
+            resume_after: resume.and_then(|resume| resume.after.as_deref()),
+            copy_to: grant.copy.as_ref().map(|copy| copy.address.as_str()),
+            continues_from: copy.map(CopyName::location),
         };
         let headers = end_to_end_headers(&self.headers);
         let mut headers = self.node.dialect.upstream_headers(&headers, &facts);
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller_stream;
 mod catalogue_list;
 mod connection_io;
+mod continuation;
 mod crash_reports;
 mod dialect;
 mod entry_runs;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -284,3 +284,7 @@
 
 /// Interval at which a stopping forwarder checks whether a tunnel is idle.
 pub(crate) const TUNNEL_STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest time for which an upstream that broke off a stream may take to answer whether it still runs the request. The
+/// caller waits meanwhile; a pause that is longer than usual is noticed, but worth less than the stream.
+pub(crate) const STOP_RUN_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -11,6 +11,7 @@
         body_framing::BodyFraming,
         burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
         caller_stream::CallerStream,
+        continuation::{ResumePoint, continue_from_copy},
         dialect::AnswerFacts,
         event_stream::EventSplitter,
         job::{DispatchOutcome, Job, ms},
@@ -26,7 +27,7 @@
     tokio::{
         sync::mpsc,
         task::spawn_local,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -98,7 +99,7 @@
 
 /// An upstream's stream that is being relayed to the caller.
 pub(crate) struct Relay {
-    slot: Slot,
+    pub(crate) slot: Slot,
     response: Response<Incoming>,
     connection: OpenConnection,
     /// How long the upstream keeps the connection open once it is idle, if it said so.
@@ -189,6 +190,10 @@
                             stats.longest_pause = stats.longest_pause.max(pause);
                         }
                         last_event_at = elapsed;
+                        if attempts.has_continued && stats.time_to_first_event.is_none() {
+                            observe_pause(job, attempts);
+                        }
+                        attempts.last_event_at = Some(Instant::now());
                         if stats.time_to_first_event.is_none() {
                             stats.time_to_first_event = Some(elapsed);
                             let name = &job.route.name;
@@ -295,28 +300,41 @@
     log::info!(request:% = job.facts.request_id, route:% = job.route.name, status = 200, upstream, version, sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
 }
 
+/// Records the pause before the first event after a run went on from a copy.
+fn observe_pause(job: &Job, attempts: &Attempts) {
+    if let Some(last) = attempts.last_event_at {
+        let (metrics, route) = (&job.node.metrics, &job.route.name);
+        metrics.observe("continuation_pause_ms", route, last.elapsed());
+    }
+}
+
 /// Continues a stream that broke off at another upstream, after the last event that arrived.
 async fn resume(job: &Rc<Job>, attempts: &mut Attempts, caller: &CallerStream) -> Option<Relay> {
+    if caller.is_inside_event {
+        return None;
+    }
+    if let Some(relay) = continue_from_copy(job, attempts, caller).await {
+        return Some(relay);
+    }
     let RouteKind::Stream {
         is_resumable: true, ..
     } = job.route.kind
     else {
         return None;
     };
-    if caller.is_inside_event {
-        return None;
-    }
     while job.may_send_again(attempts) && !caller.chunks.is_closed() {
-        let slot = tokio::select! {
+        let mut slot = tokio::select! {
             slot = attempts.request_slot(job) => slot.ok()?,
             () = caller.chunks.closed() => return None,
         };
-        attempts.count_sent(&slot.grant.upstream);
-        let resume_after = caller
-            .last_event_id
-            .clone()
-            .or_else(|| job.facts.last_event_id.clone());
-        let sending = job.clone().send_once(slot, resume_after);
+        slot.drop_unusable_copy();
+        attempts.count_sent(&slot.grant);
+        let after = caller.last_event_id.clone();
+        let resume = ResumePoint {
+            after: after.or_else(|| job.facts.last_event_id.clone()),
+            copy: None,
+        };
+        let sending = job.clone().send_once(slot, Some(resume));
         let outcome = tokio::select! {
             outcome = sending => outcome,
             () = caller.chunks.closed() => return None,
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -11,7 +11,7 @@
         upstream_notices::ObservedAnswer,
     },
     dragonflystep_dispatch::{
-        CrashEvidence, Event, Grant, NodeName, RunId, RunOutcome, RunReport, SlotDecision,
+        CrashEvidence, Event, Grant, NodeName, RunCopy, RunId, RunOutcome, RunReport, SlotDecision,
         SlotRequest, UpstreamLoad, UpstreamNotice, UpstreamVersion,
     },
     dragonflystep_peer::{PeerError, PeerLink},
@@ -95,6 +95,24 @@
             .permits_data_centre_of(&self.grant.upstream, allowed)
     }
 
+    /// Drops the copy of the run if its upstream takes no requests or may not hold the request, by what this node knows.
+    pub(crate) fn drop_unusable_copy(&mut self) {
+        let Some(copy) = &self.grant.copy else {
+            return;
+        };
+        let runs = self.node.entry_runs.runs.borrow();
+        let run = runs.get(&self.run);
+        let allowed = run.and_then(|run| run.request.allowed_data_centres.as_deref());
+        let is_usable = self.node.permits_data_centre_of(&copy.upstream, allowed)
+            && !self.node.owner.is_leaving(&copy.upstream);
+        let kind = if is_usable { "kept" } else { "dropped" };
+        self.node.metrics.count("run_copies_total", kind);
+        if !is_usable {
+            log::info!(run = self.run, upstream:% = copy.upstream; "the run is not copied: the upstream may not hold it");
+            self.grant.copy = None;
+        }
+    }
+
     /// Whether the upstream has the software version that the request needs, if it needs one.
     pub(crate) fn has_required_version(&self) -> bool {
         let runs = self.node.entry_runs.runs.borrow();
@@ -262,7 +280,7 @@
 /// Records a granted run, with the owner that counts it, and returns its slot.
 fn accept_decision(
     node: &Rc<Node>,
-    request: SlotRequest,
+    mut request: SlotRequest,
     owner: (NodeName, u64),
     decision: SlotDecision,
 ) -> Result<Slot, dragonflystep_dispatch::Refusal> {
@@ -270,6 +288,9 @@
         SlotDecision::Granted(grant) => grant,
         SlotDecision::Refused(refusal) => return Err(refusal),
     };
+    if let Some(copy) = &grant.copy {
+        request.copy = Some(RunCopy::Kept(copy.upstream.clone()));
+    }
     let slot = Slot {
         node: node.clone(),
         run: request.run,
