Share a full service among accounts by what they received

An owner now keeps what each account received (work at an engine of mean speed, decaying with the settings' memory), finds by max-min fairness with the quotas as weights what each is owed, and puts requests of accounts that ask for less than that first, then those of accounts that have not received it yet.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        account_shares::{AccountWeights, ShareChange},
         copy_rules::CopyRules,
         crash_log::{CrashLog, Verdicts},
         event::{Effect, Event, SharedLimits},
@@ -21,12 +22,14 @@
         refusal::{crashing_content, refuse},
         retry_budget::RetryLimits,
         rollout::{RolloutRules, RolloutStep},
+        share_rules::ShareRules,
         stream_versions::StreamVersions,
         warm_up::WarmUpRules,
     },
     std::{
         collections::{BTreeSet, HashMap},
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
 };
@@ -76,6 +79,8 @@
     rollout_rules: RolloutRules,
     warm_up_rules: WarmUpRules,
     copy_rules: CopyRules,
+    share_rules: ShareRules,
+    account_weights: Arc<AccountWeights>,
     /// Data centres whose upstreams get no requests.
     evacuated: BTreeSet<DataCentreName>,
     rollout_steps: Vec<RolloutStep>,
@@ -110,6 +115,8 @@
             rollout_rules: limits.rollout,
             warm_up_rules: limits.warm_up,
             copy_rules: limits.copies,
+            share_rules: limits.shares,
+            account_weights: Arc::default(),
             evacuated: BTreeSet::new(),
             rollout_steps: Vec::new(),
             back_offs: Vec::new(),
@@ -132,6 +139,16 @@
         std::mem::take(&mut self.back_offs)
     }
 
+    /// Returns which accounts are held back, or no longer are, since the last call, by service; to be logged.
+    pub fn take_share_changes(&mut self) -> Vec<(ServiceName, ShareChange)> {
+        let pools = self.pools.iter_mut();
+        let changes = pools.flat_map(|(service, pool)| {
+            let changes = pool.take_share_changes().into_iter();
+            changes.map(|change| (service.clone(), change))
+        });
+        changes.collect()
+    }
+
     /// Applies an event that happened at `now` and returns the resulting decisions.
     pub fn reduce(&mut self, now: MonotonicTime, event: Event) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -158,8 +175,10 @@
                 self.rollout_rules = limits.rollout;
                 self.warm_up_rules = limits.warm_up;
                 self.copy_rules = limits.copies;
+                self.share_rules = limits.shares;
                 for pool in self.pools.values_mut() {
                     pool.set_copy_rules(limits.copies);
+                    pool.set_share_rules(limits.shares);
                     pool.set_warm_up_rules(now, limits.warm_up);
                 }
             }
--- a/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
@@ -3,12 +3,16 @@
 use {
     super::Dispatcher,
     crate::{
+        account_shares::AccountWeights,
         catalogue::Catalogue,
         ids::{MonotonicTime, ServiceName, UpstreamId},
         limits::OVERLAP_RATE_SHARE,
         upstream::Upstream,
     },
-    std::collections::{HashMap, HashSet},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
 };
 
 impl Dispatcher {
@@ -29,10 +33,20 @@
     }
 
     pub(super) fn set_catalogue(&mut self, now: MonotonicTime, catalogue: &Catalogue) {
+        let quotas = catalogue.accounts.iter().filter_map(|account| {
+            let quota = account.quota?;
+            Some((account.name.clone(), quota.units_per_s))
+        });
+        self.account_weights = Arc::new(AccountWeights::from_quotas(quotas));
+        for pool in self.pools.values_mut() {
+            pool.set_account_weights(self.account_weights.clone());
+        }
         for service in &catalogue.services {
             let pool = self.pools.entry(service.name.clone()).or_default();
             pool.set_engine(service.engine);
             pool.set_copy_rules(self.copy_rules);
+            pool.set_share_rules(self.share_rules);
+            pool.set_account_weights(self.account_weights.clone());
             pool.set_warm_up_rules(now, self.warm_up_rules);
             pool.set_warm_up(now, service.warm_up);
         }
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`Event`]s together with the time at which they happened and returns [`Effect`]s. The same code runs in a node, in
 //! tests and in replays of recorded load.
 
+mod account_shares;
 mod break_rate;
 mod catalogue;
 mod copy_rules;
@@ -41,6 +42,7 @@
 mod warm_up;
 
 pub use self::{
+    account_shares::ShareChange,
     catalogue::{
         Account, AccountQuota, CacheTransfer, Catalogue, ClientLimits, Engine, QuotaUnit, Route,
         RouteKind, Service, Target, WarmUp,
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -161,6 +161,16 @@
 /// Largest number of refused requests that are remembered; about a megabyte.
 pub(crate) const MAX_REFUSED_REMEMBERED: usize = 16_384;
 
+/// Interval at which the accounts that are above their shares are found; some decisions of an owner that is full.
+pub(crate) const SHARE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Share by which an account may exceed what it is owed before its requests go behind others: single requests differ in
+/// size.
+pub(crate) const SHARE_TOLERANCE: f64 = 0.1;
+
+/// Work below which what an account received is forgotten, in milliseconds of one slot.
+pub(crate) const FORGOTTEN_WORK_MS: f64 = 1.0;
+
 /// Time constant of the mean rate at which upstreams break off.
 pub(crate) const BREAK_RATE_WINDOW: Duration = Duration::from_secs(10);
 
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -19,6 +19,7 @@
         placing::Choice,
     },
     crate::{
+        account_shares::{AccountShares, AccountWeights, ShareChange, ShareClass},
         break_rate::BreakRate,
         catalogue::{Engine, WarmUp},
         copy_rules::CopyRules,
@@ -33,6 +34,7 @@
         refused_requests::RefusedRequests,
         retry_budget::RetryBudget,
         rollout::{Rollout, RolloutRules},
+        share_rules::ShareRules,
         speed::{RouteAverages, Speed},
         stream_versions::{SeenVersions, StreamVersion},
         upstream::{LiveUpstream, Run, Upstream},
@@ -42,6 +44,7 @@
         cell::Cell,
         collections::{BTreeMap, HashMap, HashSet},
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
 };
@@ -75,8 +78,8 @@
     slot_share: Option<f64>,
     /// Share of the upstreams' rate limits that this owner may use; absent means all.
     rate_limit_share: Option<f64>,
-    /// When each tier was last granted a slot.
-    granted_at: BTreeMap<Tier, MonotonicTime>,
+    /// When each tier was last granted a slot, by how the request stood to the share of its account.
+    granted_at: BTreeMap<(Tier, ShareClass), MonotonicTime>,
     rollout: Option<Rollout>,
     rollout_rules: RolloutRules,
     warm_up: Option<WarmUp>,
@@ -96,6 +99,8 @@
     /// How often its upstreams break off.
     break_rate: BreakRate,
     copy_rules: CopyRules,
+    /// What the accounts received.
+    shares: AccountShares,
 }
 
 impl ServicePool {
@@ -234,9 +239,16 @@
         let max_wait = longest_wait(&request, was_refused, time_to_first_event);
         let tier = request.tier;
         let is_late = request.objective_left < time_to_first_event;
+        self.update_shares(now);
+        let account = request.account.as_ref();
+        let account_work_ms = self.queue.account_work_ms(tier, account);
+        let share_class = self.shares.class_of(now, tier, account, account_work_ms);
         // While no request waits, the estimate is needed only if this one gets no slot.
         let wait = (!self.queue.is_empty()).then(|| {
-            let work_ms = self.queue.work_ahead_ms(now, &request, is_late) + run_ms;
+            let ahead_ms = self
+                .queue
+                .work_ahead_ms(now, &request, share_class, is_late);
+            let work_ms = ahead_ms + run_ms;
             self.estimate_wait(now, &request, run_ms, work_ms)
         });
         self.arrivals.record_arrival(now, request.tier, run_ms);
@@ -250,6 +262,7 @@
                 time_to_first_event,
                 first_requested_at,
                 was_refused,
+                share_class,
                 is_canary,
                 request,
             },
@@ -264,7 +277,7 @@
                 self.estimate_wait(now, &queued.request, run_ms, run_ms)
             })
         });
-        if wait > max_wait && !self.granted_lower_tier_recently(now, tier) {
+        if wait > max_wait && !self.granted_later_recently(now, tier, share_class) {
             self.refuse_waiting(now, run, wait, effects);
         }
     }
@@ -278,6 +291,7 @@
         if !self.may_grant(&free_upstreams) {
             return;
         }
+        self.update_shares(now);
         self.queue.sort(now);
         let (mut index, mut skipped) = (0, 0);
         while index < self.queue.len() && skipped < MAX_SKIPPED_REQUESTS {
@@ -288,7 +302,10 @@
                         self.upstreams[upstream].canaries += 1;
                     }
                     let queued = self.queue.take(index);
-                    effects.push(self.grant(now, queued.request, upstream, prediction));
+                    let rank = (queued.request.tier, queued.share_class);
+                    self.granted_at.insert(rank, now);
+                    let request = queued.request;
+                    effects.push(self.grant(now, request, upstream, prediction, queued.run_ms));
                     free_upstreams = self.free_upstreams(now);
                     if !self.may_grant(&free_upstreams) {
                         return;
@@ -306,6 +323,33 @@
         }
     }
 
+    /// Finds what the accounts are owed, and how their requests stand to it.
+    fn update_shares(&mut self, now: MonotonicTime) {
+        let waiting = self.queue.iter().map(|queued| {
+            let request = &queued.request;
+            (request.tier, request.account.as_ref(), queued.run_ms)
+        });
+        if self.shares.update(now, waiting) {
+            let shares = &self.shares;
+            self.queue.classify(|request, ahead_ms| {
+                shares.class_of(now, request.tier, request.account.as_ref(), ahead_ms)
+            });
+        }
+    }
+
+    pub(crate) fn set_share_rules(&mut self, rules: ShareRules) {
+        self.shares.set_rules(rules);
+    }
+
+    pub(crate) fn set_account_weights(&mut self, weights: Arc<AccountWeights>) {
+        self.shares.set_weights(weights);
+    }
+
+    /// Returns the accounts whose requests go behind others, or no longer do, since the last call.
+    pub(crate) fn take_share_changes(&mut self) -> Vec<ShareChange> {
+        self.shares.take_changes()
+    }
+
     /// Whether a waiting request may get a slot. Those that resume a stream may do so at upstreams which a roll-out keeps from
     /// other requests.
     fn may_grant(&self, free_upstreams: &FreeUpstreams) -> bool {
--- a/crates/dragonflystep_dispatch/src/pool/copying.rs
+++ b/crates/dragonflystep_dispatch/src/pool/copying.rs
@@ -179,7 +179,8 @@
         };
         let (objective_left, model) = (request.objective_left, self.model());
         let prediction = predict(now, &request, objective_left, &self.upstreams[index], model);
-        effects.push(self.grant(now, request, index, prediction));
+        // The account was counted for the run when it began.
+        effects.push(self.grant(now, request, index, prediction, 0.0));
     }
 
     fn takes_continued(&self, now: MonotonicTime, request: &SlotRequest, index: usize) -> bool {
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -26,6 +26,17 @@
     Wait,
 }
 
+/// Where a run is placed.
+pub(super) struct Placed {
+    /// Index of its upstream.
+    pub(super) index: usize,
+    pub(super) prediction: Prediction,
+    /// The upstream that gets a copy; absent if none does.
+    pub(super) copied_to: Option<UpstreamId>,
+    /// Work that counts as received by the account, in milliseconds of one slot.
+    pub(super) work_ms: f64,
+}
+
 impl ServicePool {
     /// Limits the slots that this owner uses to a share of all slots; `None` removes the limit.
     pub(crate) fn limit_slots(&mut self, share: Option<f64>) {
@@ -117,13 +128,14 @@
             .is_some_and(|fastest| fastest < chosen * CLEARLY_FASTER_RATIO)
     }
 
-    /// Grants a slot at the upstream with this index and starts the run.
+    /// Grants a slot at the upstream with this index and starts the run, which counts as `work_ms` of its account's share.
     pub(super) fn grant(
         &mut self,
         now: MonotonicTime,
         request: SlotRequest,
         index: usize,
         prediction: Prediction,
+        work_ms: f64,
     ) -> Effect {
         let copy = self.choose_copy(now, &request, index, &prediction);
         let target = copy.as_ref().map(|copy| {
@@ -143,14 +155,21 @@
         };
         let run = request.run;
         self.granted_slots += 1;
-        self.granted_at.insert(request.tier, now);
+        self.shares
+            .record(now, request.tier, request.account.as_ref(), work_ms);
         self.upstreams[index].record_sent(now);
         let ends_at = prediction.end_at.max(now + request.time_left);
         let copied_to = grant.copy.as_ref().map(|copy| copy.upstream.clone());
         if let Some(copy) = &copy {
             self.start_copy(run, copy, ends_at);
         }
-        self.start_run(now, request, index, prediction, copied_to);
+        let placed = Placed {
+            index,
+            prediction,
+            copied_to,
+            work_ms,
+        };
+        self.start_run(now, request, placed);
         Effect {
             run,
             decision: SlotDecision::Granted(grant),
@@ -158,14 +177,13 @@
     }
 
     /// Records a run at the upstream with this index, with its predicted times.
-    pub(super) fn start_run(
-        &mut self,
-        at: MonotonicTime,
-        request: SlotRequest,
-        index: usize,
-        prediction: Prediction,
-        copied_to: Option<UpstreamId>,
-    ) {
+    pub(super) fn start_run(&mut self, at: MonotonicTime, request: SlotRequest, placed: Placed) {
+        let Placed {
+            index,
+            prediction,
+            copied_to,
+            work_ms,
+        } = placed;
         let upstream = &mut self.upstreams[index];
         if let Some(stream) = &request.stream {
             let versions = request.stream_ids().map(|id| StreamVersion {
@@ -183,6 +201,7 @@
             is_overdue: false,
             began_cold: upstream.is_cold(at),
             copied_to,
+            work_ms,
             request,
         };
         self.run_index.insert(run.request.run, index);
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -3,6 +3,7 @@
 use {
     super::ServicePool,
     crate::{
+        account_shares::ShareClass,
         event::Effect,
         ids::{MonotonicTime, RunId, Tier},
         limits::{
@@ -13,15 +14,26 @@
         speed::Speed,
         upstream::LiveUpstream,
     },
-    std::time::Duration,
+    std::{
+        ops::Bound::{Excluded, Unbounded},
+        time::Duration,
+    },
 };
 
 impl ServicePool {
-    /// Whether a lower tier was granted a slot a moment ago. In that case a long predicted wait is wrong, and a request
-    /// of `tier` must not be refused for overload.
-    pub(super) fn granted_lower_tier_recently(&self, now: MonotonicTime, tier: Tier) -> bool {
-        let mut lower_tiers = self.granted_at.range(tier.saturating_add(1)..);
-        lower_tiers.any(|(_, at)| now.saturating_sub(*at) < LOWER_TIER_GRANT_MEMORY)
+    /// Whether a request that goes behind one of this tier and share was granted a slot a moment ago: one of a lower tier, or
+    /// of an account that received more of its share. In that case a long predicted wait is wrong, and the request must not
+    /// be refused for overload.
+    pub(super) fn granted_later_recently(
+        &self,
+        now: MonotonicTime,
+        tier: Tier,
+        share_class: ShareClass,
+    ) -> bool {
+        let mut later = self
+            .granted_at
+            .range((Excluded((tier, share_class)), Unbounded));
+        later.any(|(_, at)| now.saturating_sub(*at) < LOWER_TIER_GRANT_MEMORY)
     }
 
     /// Refuses requests that have waited as long as they may, and drops runs whose end was never reported.
@@ -29,7 +41,11 @@
         for queued in self.queue.take_expired(now) {
             self.refused
                 .record(now, &queued.request, queued.first_requested_at);
-            let work_ms = self.queue.work_ahead_ms(now, &queued.request, true) + queued.run_ms;
+            let share_class = queued.share_class;
+            let ahead_ms = self
+                .queue
+                .work_ahead_ms(now, &queued.request, share_class, true);
+            let work_ms = ahead_ms + queued.run_ms;
             let wait = self.estimate_wait(now, &queued.request, queued.run_ms, work_ms);
             effects.push(Effect {
                 run: queued.request.run,
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -2,7 +2,7 @@
 //! granted.
 
 use {
-    super::ServicePool,
+    super::{ServicePool, placing::Placed},
     crate::{
         ids::{MonotonicTime, UpstreamId},
         limits::MAX_SUSPENDED_SHARE,
@@ -63,6 +63,10 @@
         }
         self.observe_for_rollout(index, &run, report);
         self.end_copy(now, &run, report.outcome);
+        if !report.outcome.may_have_run() {
+            let (tier, account) = (run.request.tier, run.request.account.as_ref());
+            self.shares.record(now, tier, account, -run.work_ms);
+        }
         let upstream = &mut self.upstreams[index];
         if report.outcome == RunOutcome::Completed {
             self.refused.forget(run.request.fingerprint);
@@ -123,6 +127,16 @@
         };
         let ends_at = prediction.end_at.max(now + active_run.request.time_left);
         self.adopt_copy(&active_run.request, ends_at);
-        self.start_run(started_at, active_run.request, index, prediction, copied_to);
+        let request = active_run.request;
+        let (_, work_ms) = self.durations_at_mean_speed(&request, self.mean_speed(now));
+        self.shares
+            .record(now, request.tier, request.account.as_ref(), work_ms);
+        let placed = Placed {
+            index,
+            prediction,
+            copied_to,
+            work_ms,
+        };
+        self.start_run(started_at, request, placed);
     }
 }
--- a/crates/dragonflystep_dispatch/src/queue.rs
+++ b/crates/dragonflystep_dispatch/src/queue.rs
@@ -7,11 +7,12 @@
 
 use {
     crate::{
-        ids::{MonotonicTime, RunId, Tier},
+        account_shares::ShareClass,
+        ids::{AccountName, MonotonicTime, RunId, Tier},
         limits::QUEUE_SORT_INTERVAL,
         messages::SlotRequest,
     },
-    std::time::Duration,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// A request in the queue, with its deadlines and predicted durations.
@@ -22,6 +23,8 @@
     pub(crate) first_requested_at: MonotonicTime,
     /// Whether it was refused before and has come back.
     pub(crate) was_refused: bool,
+    /// How it stands to the share of its account.
+    pub(crate) share_class: ShareClass,
     /// Whether it goes to the new version of its service to test that version.
     pub(crate) is_canary: bool,
     /// Time after which its answer or first event is late.
@@ -53,17 +56,19 @@
     sorted_at: MonotonicTime,
 }
 
-/// Sort key of the queue: by tier, then answers that have begun, then requests that can be on time, then late ones that
-/// were refused before, then the other late ones; ties go by the time at which they are late.
+/// Sort key of the queue: by tier, then answers that have begun, then requests of accounts that received less of their
+/// shares, then requests that can be on time, then late ones that were refused before, then the other late ones; ties go by the time at
+/// which they are late.
 fn priority_key(
     queued: &QueuedRequest,
     now: MonotonicTime,
-) -> (Tier, bool, bool, bool, MonotonicTime) {
+) -> (Tier, bool, ShareClass, bool, bool, MonotonicTime) {
     let is_late = queued.is_late(now);
     let is_late_first_try = is_late && !queued.was_refused;
     (
         queued.request.tier,
         !queued.request.has_begun(),
+        queued.share_class,
         is_late,
         is_late_first_try,
         queued.objective_at,
@@ -129,6 +134,27 @@
         expired
     }
 
+    /// Changes how the requests stand to the shares of their accounts. `class_of` gets each request with the work of its
+    /// account and tier that waits before it, in milliseconds of one slot.
+    pub(crate) fn classify(&mut self, class_of: impl Fn(&SlotRequest, f64) -> ShareClass) {
+        let mut ahead_ms: HashMap<(Tier, Option<AccountName>), f64> = HashMap::new();
+        for queued in &mut self.waiting {
+            let request = &queued.request;
+            let key = (request.tier, request.account.clone());
+            let account_ahead_ms = ahead_ms.entry(key).or_default();
+            queued.share_class = class_of(request, *account_ahead_ms);
+            *account_ahead_ms += queued.run_ms;
+        }
+    }
+
+    /// Returns the work of an account that waits in a tier, in milliseconds of one slot.
+    pub(crate) fn account_work_ms(&self, tier: Tier, account: Option<&AccountName>) -> f64 {
+        let waiting = self.waiting.iter().filter(|queued| {
+            queued.request.tier == tier && queued.request.account.as_ref() == account
+        });
+        waiting.map(|queued| queued.run_ms).sum()
+    }
+
     /// Sorts the requests into the order in which they get slots, at most once per [`QUEUE_SORT_INTERVAL`].
     pub(crate) fn sort(&mut self, now: MonotonicTime) {
         if now < self.sorted_at + QUEUE_SORT_INTERVAL && self.sorted_at > MonotonicTime::ZERO {
@@ -143,11 +169,12 @@
     ///
     /// Late requests of the same tier are not served before a request that can be on time, so they do not count for it.
     /// Counting them would refuse requests that could be served on time, and those would then come back late. Neither do
-    /// new requests count for an answer that has begun.
+    /// new requests count for an answer that has begun, nor those of accounts that received more of their share.
     pub(crate) fn work_ahead_ms(
         &self,
         now: MonotonicTime,
         request: &SlotRequest,
+        share_class: ShareClass,
         is_late: bool,
     ) -> f64 {
         let is_before = |queued: &QueuedRequest| {
@@ -157,6 +184,7 @@
             match (queued.request.has_begun(), request.has_begun()) {
                 (true, false) => true,
                 (false, true) => false,
+                _ if queued.share_class != share_class => queued.share_class < share_class,
                 _ => is_late || !queued.is_late(now),
             }
         };
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -67,6 +67,8 @@
     pub(crate) began_cold: bool,
     /// The upstream to which the run is copied; absent if it is not.
     pub(crate) copied_to: Option<UpstreamId>,
+    /// Work that was counted as received by its account, in milliseconds of one slot.
+    pub(crate) work_ms: f64,
 }
 
 /// An upstream with everything that its owner knows about it.
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -90,6 +90,7 @@
         let rollout_steps = dispatcher.take_rollout_steps();
         let back_offs = dispatcher.take_back_offs();
         let content_changes = dispatcher.take_content_changes();
+        let share_changes = dispatcher.take_share_changes();
         if dispatcher.has_granted_streams() {
             self.streams_granted.notify_one();
         }
@@ -98,6 +99,9 @@
             let node_start = node_incarnation_of(back_off.run);
             log::info!(upstream:% = back_off.upstream, node_start, outcome = back_off.outcome.name(), back_off_ms = back_off.duration.as_millis() as u64; "upstream is backed off");
         }
+        for (service, change) in share_changes {
+            log::info!(service:%, account:% = change.account, tier = change.tier, is_held_back = change.is_held_back, received_ms = change.received_ms as u64, owed_ms = change.owed_ms.min(1e12) as u64; "an account's share changed");
+        }
         if !content_changes.is_empty() {
             self.refused_content_changed.notify_one();
         }
