--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -99,6 +99,8 @@
     /// How often its upstreams break off.
     break_rate: BreakRate,
     copy_rules: CopyRules,
+    /// Runs that were copied since the last summary.
+    copied_runs: u64,
     /// What the accounts received.
     shares: AccountShares,
 }
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -161,6 +161,7 @@
         let ends_at = prediction.end_at.max(now + request.time_left);
         let copied_to = grant.copy.as_ref().map(|copy| copy.upstream.clone());
         if let Some(copy) = &copy {
+            self.copied_runs += 1;
             self.start_copy(run, copy, ends_at);
         }
         let placed = Placed {
--- a/crates/dragonflystep_dispatch/src/pool/summary.rs
+++ b/crates/dragonflystep_dispatch/src/pool/summary.rs
@@ -6,6 +6,7 @@
         ids::{MonotonicTime, ServiceName, UpstreamId},
         upstream::LiveUpstream,
     },
+    std::time::Duration,
 };
 
 /// Largest number of upstreams in a summary; about 8 KB in the log.
@@ -43,12 +44,18 @@
     pub examined: u64,
     /// Number of upstreams of the service.
     pub upstream_count: usize,
+    /// Probability that an upstream breaks off within a second, by what was seen lately.
+    pub break_probability_per_s: f64,
+    /// Runs that were copied to a second upstream since the last summary.
+    pub copied_runs: u64,
+    /// Copies that the upstreams hold.
+    pub copies: usize,
     /// The upstreams of the service; of a large one, up to [`MAX_SUMMARIZED`] that have runs or are not usable.
     pub upstreams: Vec<UpstreamSummary>,
 }
 
 impl ServicePool {
-    /// Summarizes the service, and resets the number of granted slots.
+    /// Summarizes the service, and resets the counts.
     pub(crate) fn summary(&mut self, now: MonotonicTime, service: ServiceName) -> PoolSummary {
         let is_large = self.upstreams.len() > MAX_SUMMARIZED;
         let is_listed = |upstream: &&LiveUpstream| {
@@ -70,6 +77,13 @@
             granted_slots: std::mem::take(&mut self.granted_slots),
             examined: self.search.take_examined(),
             upstream_count: self.upstreams.len(),
+            break_probability_per_s: self.break_rate.probability(
+                now,
+                self.upstreams.len(),
+                Duration::from_secs(1),
+            ),
+            copied_runs: std::mem::take(&mut self.copied_runs),
+            copies: self.upstreams.iter().map(|it| it.copies.len()).sum(),
             upstreams: upstreams.collect(),
         }
     }
--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -82,7 +82,10 @@
     };
     attempts.continues_at = Some(copy.upstream.clone());
     let slot = tokio::select! {
-        slot = attempts.request_slot(job) => slot.map_err(|_| "refused")?,
+        slot = attempts.request_slot(job) => slot.map_err(|refusal| {
+            log::info!(request:% = job.facts.request_id, upstream:% = copy.upstream, reason:? = refusal.reason; "a run may not go on from its copy");
+            "refused"
+        })?,
         () = caller.chunks.closed() => return Err("caller_left"),
     };
     if slot.grant.upstream != copy.upstream {
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -315,7 +315,7 @@
             sleep(SUMMARY_LOG_INTERVAL).await;
             let summaries = self.dispatcher.borrow_mut().summaries(self.now());
             for summary in summaries {
-                log::info!(service:% = summary.service, granted = summary.granted_slots, waiting = summary.waiting, examined = summary.examined, listed = summary.upstream_count, upstreams:% = format_upstreams(&summary); "owner's beliefs");
+                log::info!(service:% = summary.service, granted = summary.granted_slots, waiting = summary.waiting, examined = summary.examined, listed = summary.upstream_count, break_probability_per_s = summary.break_probability_per_s, copied_runs = summary.copied_runs, copies = summary.copies, upstreams:% = format_upstreams(&summary); "owner's beliefs");
             }
         }
     }
