--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -177,8 +177,8 @@
 /// Number of upstreams that are compared for a copy; the best of a few random ones spreads copies evenly.
 pub(crate) const COPY_CANDIDATES: usize = 16;
 
-/// Factor from one tier to the next by which the loss of a run has to be likelier for the run to be worth a copy.
-pub(crate) const COPY_TIER_FACTOR: f64 = 2.0;
+/// Factor by which a run of the lowest tier has to be likelier to be lost than one of the highest to be worth a copy.
+pub(crate) const LOWEST_TIER_COPY_FACTOR: f64 = 4.0;
 
 /// The same factor for runs that may be repeated elsewhere: without a copy they lose time but seldom the answer.
 pub(crate) const REPEATABLE_COPY_FACTOR: f64 = 2.0;
--- a/crates/dragonflystep_dispatch/src/pool/copying.rs
+++ b/crates/dragonflystep_dispatch/src/pool/copying.rs
@@ -15,8 +15,8 @@
         event::Effect,
         ids::{MonotonicTime, RunId, Tier, UpstreamId},
         limits::{
-            COPY_CANDIDATES, COPY_TIER_FACTOR, MAX_CONTINUED_PER_SLOT, MAX_COPY_FAILURE_RATE,
-            REPEATABLE_COPY_FACTOR,
+            COPY_CANDIDATES, LOWEST_TIER_COPY_FACTOR, MAX_CONTINUED_PER_SLOT,
+            MAX_COPY_FAILURE_RATE, REPEATABLE_COPY_FACTOR,
         },
         messages::{RefusalReason, RunCopy, RunOutcome, SlotRequest},
         placement::{Prediction, predict},
@@ -90,10 +90,21 @@
         } else {
             1.0
         };
-        let factor = repeatable_factor * tier_factor(request.tier);
+        let factor = repeatable_factor * self.copy_tier_factor(request.tier);
         probability >= self.copy_rules.min_break_probability * factor
     }
 
+    /// Factor by which a run of a tier has to be likelier to be lost to be worth a copy: from 1 for the highest tier that was
+    /// served lately up to [`LOWEST_TIER_COPY_FACTOR`].
+    fn copy_tier_factor(&self, tier: Tier) -> f64 {
+        let mut tiers: Vec<Tier> = self.granted_at.keys().map(|(tier, _)| *tier).collect();
+        tiers.dedup();
+        let above = tiers.iter().filter(|other| **other < tier).count();
+        let lowest = tiers.len().saturating_sub(1).max(1);
+        let position = above.min(lowest) as f64 / lowest as f64;
+        1.0 + position * (LOWEST_TIER_COPY_FACTOR - 1.0)
+    }
+
     fn has_room_for_copy(
         &self,
         now: MonotonicTime,
@@ -194,11 +205,6 @@
     }
 }
 
-/// Factor by which a run of a tier has to be likelier to be lost to be worth a copy.
-fn tier_factor(tier: Tier) -> f64 {
-    COPY_TIER_FACTOR.powi(i32::from(tier.min(16)))
-}
-
 /// Memory that a run takes at most, in tokens.
 fn memory_tokens(request: &SlotRequest) -> u64 {
     u64::from(request.size.prompt_tokens) + u64::from(request.size.output_tokens)
