--- a/crates/dragonflystep_dispatch/src/copy_rules.rs
+++ b/crates/dragonflystep_dispatch/src/copy_rules.rs
@@ -22,7 +22,7 @@
     /// Copies runs while upstreams crash, in the memory that prompts seldom need.
     fn default() -> Self {
         Self {
-            min_break_probability: 0.002,
+            min_break_probability: 0.01,
             max_memory_share: 0.25,
         }
     }
