Let a stream go on from its copy at its own version only

An engine may get another version in place. A stream that may be resumed names its version in the slot request, so the owner keeps it from such an engine; one that may not names none and went on there. Ruled out: the owner's choice of the copy, which compares versions at the grant.

--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -89,6 +89,12 @@
         slot.return_unused();
         return Err("refused");
     }
+    // A stream that may not be resumed elsewhere states no version in its slot request.
+    let version = attempts.stream_version.as_ref();
+    if version.is_some_and(|version| *version != slot.version()) {
+        slot.return_unused();
+        return Err("refused");
+    }
     attempts.count_sent(&slot.grant);
     let resume = ResumePoint {
         after: caller.last_event_id.clone(),
