Count the copies of runs where they are, no longer than they are there

A review of the decisions on copies found four faults; each has a test in tests/run_copies.rs that failed before:

- The copy of a run whose upstream had left the registry was never freed at the end of the run, since such runs are ended on a way of their own: 4 of 8 places were free, 8 are.
- The copy of a run that was rejected, withheld or never sent was counted for the lifetime of copies, although nothing had been copied: 4 of 8, now 8.
- An owner that sees a minority of the nodes used the whole memory share of each upstream, as the owners in the other partitions do: 4 copies at each of 6 upstreams where a third of the nodes has room for 1.
- The 16 candidates were neighbours in the registry.
With data centres listed one after the other, 40 of 100 copies went to the source's own data centre, although there was room for all; now 95 at least.
The steps of the search in large pools were tried first and ruled out: 7,919 is one less than a multiple of 120, so they are neighbours too in such a pool.

The memory of the copies is a running sum in place of a sum at each look.

--- a/crates/dragonflystep_dispatch/src/held_copies.rs
+++ b/crates/dragonflystep_dispatch/src/held_copies.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct HeldCopies {
     copies: HashMap<RunId, HeldCopy>,
+    /// Sum over the copies.
+    tokens: u64,
 }
 
 #[derive(Debug)]
@@ -20,7 +22,9 @@
 impl HeldCopies {
     /// Counts the copy of a run until `expires_at`.
     pub(crate) fn insert(&mut self, run: RunId, tokens: u64, expires_at: MonotonicTime) {
-        self.copies.insert(run, HeldCopy { tokens, expires_at });
+        let replaced = self.copies.insert(run, HeldCopy { tokens, expires_at });
+        self.tokens += tokens;
+        self.tokens -= replaced.map_or(0, |copy| copy.tokens);
     }
 
     /// Counts the copy of a run until `expires_at` if that is earlier than so far.
@@ -31,11 +35,17 @@
     }
 
     pub(crate) fn remove(&mut self, run: RunId) {
-        self.copies.remove(&run);
+        let removed = self.copies.remove(&run);
+        self.tokens -= removed.map_or(0, |copy| copy.tokens);
     }
 
     pub(crate) fn expire(&mut self, now: MonotonicTime) {
-        self.copies.retain(|_, copy| now < copy.expires_at);
+        let tokens = &mut self.tokens;
+        self.copies.retain(|_, copy| {
+            let is_held = now < copy.expires_at;
+            *tokens -= if is_held { 0 } else { copy.tokens };
+            is_held
+        });
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -44,6 +54,6 @@
 
     /// Returns the memory that the copies take, in tokens.
     pub(crate) fn tokens(&self) -> u64 {
-        self.copies.values().map(|copy| copy.tokens).sum()
+        self.tokens
     }
 }
--- a/crates/dragonflystep_dispatch/src/pool/copying.rs
+++ b/crates/dragonflystep_dispatch/src/pool/copying.rs
@@ -59,8 +59,14 @@
         }
         let tokens = memory_tokens(request);
         let count = self.upstreams.len();
-        let first = self.search.draw(count);
-        let candidates = (0..count.min(COPY_CANDIDATES)).map(|offset| (first + offset) % count);
+        // Neighbours in the registry often share a data centre, so each candidate of a large pool is drawn anew.
+        let candidates = (0..count.min(COPY_CANDIDATES)).map(|index| {
+            if count > COPY_CANDIDATES {
+                self.search.draw(count)
+            } else {
+                index
+            }
+        });
         let suitable = candidates.filter(|index| {
             *index != source && self.has_room_for_copy(now, request, source, *index, tokens)
         });
@@ -116,7 +122,9 @@
         }
         let memory_tokens = self.engine.map_or(0, |engine| engine.cache_tokens);
         let copied_tokens = upstream.copies.tokens() + tokens;
-        let max_copied_tokens = memory_tokens as f64 * self.copy_rules.max_memory_share;
+        // Owners in other partitions copy to the same upstreams.
+        let share = self.copy_rules.max_memory_share * self.slot_share.unwrap_or(1.0);
+        let max_copied_tokens = memory_tokens as f64 * share;
         copied_tokens as f64 <= max_copied_tokens
             && copied_tokens + running_tokens(upstream) <= memory_tokens
     }
@@ -141,7 +149,7 @@
         }
     }
 
-    /// Frees the copy of a run that ended, or lets it expire if the run may go on there.
+    /// Frees the copy of a run that ended well or did not run, or lets it expire if the run may go on there.
     pub(super) fn end_copy(&mut self, now: MonotonicTime, run: &Run, outcome: RunOutcome) {
         let Some(index) = run.copied_to.as_ref().and_then(|upstream| {
             let index = self.upstream_index.get(upstream);
@@ -151,7 +159,7 @@
         };
         let lifetime = self.copy_lifetime();
         let copies = &mut self.upstreams[index].copies;
-        if outcome == RunOutcome::Completed {
+        if outcome == RunOutcome::Completed || !outcome.may_have_run() {
             copies.remove(run.request.run);
         } else {
             copies.shorten(run.request.run, now.saturating_add(lifetime));
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -34,6 +34,7 @@
     ) -> Option<FinishedRun> {
         let Some(index) = self.run_index.remove(&report.run) else {
             let run = self.unlisted_runs.remove(&report.run)?;
+            self.end_copy(now, &run, report.outcome);
             return Some(FinishedRun {
                 request: run.request,
                 upstream: None,
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each test uses only part of this module")]
 
 pub mod accounts;
+pub mod copies;
 pub mod engine;
 pub mod kinds;
 pub mod rollout_simulation;
