Learn nothing of speeds from runs that went on from a copy

A run that goes on brings its first event after a few milliseconds, because its prompt was read elsewhere. The owner took that for the time to read the prompt, so the upstream counted as fast: after 30 such runs new requests were placed there and not at an equal one. Its few events also lowered the mean length of the route, and it counted as a fast answer of its version in a roll-out (this last part has no test of its own).

Until its end such a run counted as a prompt that is still to be read, which kept requests from an upstream that would answer sooner.

--- a/crates/dragonflystep_dispatch/src/placement.rs
+++ b/crates/dragonflystep_dispatch/src/placement.rs
@@ -160,8 +160,11 @@
     }
 }
 
-/// Returns the prompt tokens that the upstream's prefix cache does not hold.
+/// Returns the prompt tokens that the upstream's prefix cache does not hold. A run that goes on has its copy there.
 fn uncached_tokens(request: &SlotRequest, upstream: &LiveUpstream) -> f64 {
+    if request.continues_at().is_some() {
+        return 0.0;
+    }
     let cached = upstream.prefix_cache.cached_tokens(&request.size.segments);
     f64::from(request.size.prompt_tokens.saturating_sub(cached))
 }
@@ -193,8 +196,8 @@
     pause_ms > to_ms(strictest_limit) * MAX_PREDICTED_PAUSE_SHARE
 }
 
-/// Whether the engine's memory does not hold the request beside its runs and the copies of others. An engine that runs out of memory preempts runs
-/// and reads their prompts again, or crashes.
+/// Whether the engine's memory does not hold the request beside its runs and the copies of others. An engine that runs out
+/// of memory preempts runs and reads their prompts again, or crashes.
 fn exceeds_memory(request: &SlotRequest, upstream: &LiveUpstream, model: ServiceModel<'_>) -> bool {
     let Some(memory_tokens) = model.memory_tokens.filter(|_| !upstream.runs.is_empty()) else {
         return false;
--- a/crates/dragonflystep_dispatch/src/pool/rolling.rs
+++ b/crates/dragonflystep_dispatch/src/pool/rolling.rs
@@ -194,9 +194,13 @@
     /// Adds the outcome and duration of a run to the evidence about its version.
     pub(super) fn observe_for_rollout(&mut self, index: usize, run: &Run, report: &RunReport) {
         // A cold upstream is slow whatever its version.
-        let is_cold_answer = run.began_cold && report.outcome == RunOutcome::Completed;
+        let is_completed = report.outcome == RunOutcome::Completed;
+        let is_cold_answer = run.began_cold && is_completed;
+        // A run that went on did part of its work elsewhere.
+        let is_partial = run.request.continues_at().is_some() && is_completed;
         if run.is_overdue
             || is_cold_answer
+            || is_partial
             || !self.rollout.as_ref().is_some_and(Rollout::is_undecided)
         {
             return;
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -72,6 +72,8 @@
         if report.outcome == RunOutcome::Completed {
             self.refused.forget(run.request.fingerprint);
             match run.request.longest_pause {
+                // Its prompt was read elsewhere, and so were its first events.
+                Some(_) if run.request.continues_at().is_some() => {}
                 Some(_) => {
                     upstream
                         .speed
