Test what an owner learns of content from the ends of runs

Three mutants left all tests green: an owner that learns nothing of sound content from the ends of runs, one that learns nothing of crashes from them, and an entry node that holds back no content. None of the ways is needless: an entry node that had not heard of a crash when a stream began says nothing of it until the run ends, and entry nodes tell the nodes that they take for the first in rank, which the owner may not be among. So each gets a test at the dispatcher. Each was seen red with its mutant: without the segments' and without the request's part of what is sound, without the evidence of broken runs, and with holds_crashing_content returning false.

--- a/crates/dragonflystep_dispatch/tests/crashing_content.rs
+++ b/crates/dragonflystep_dispatch/tests/crashing_content.rs
@@ -4,8 +4,8 @@
 
 use {
     dragonflystep_dispatch::{
-        ContentKey, CrashEvidence, Dispatcher, Event, RefusalReason, RunId, SlotDecision,
-        SlotRequest, SoundContent, UpstreamCrash,
+        ContentKey, CrashEvidence, Dispatcher, Event, RefusalReason, RunId, RunOutcome, RunReport,
+        SlotDecision, SlotRequest, SoundContent, UpstreamCrash,
     },
     proptest::prelude::*,
     std::time::Duration,
@@ -225,6 +225,101 @@
     granted_upstream(request_slot(&mut owner, next_trial_at, request(7, &[BAD])));
 }
 
+/// The end of a run that brought its events from `to_first_event` on.
+fn run_ended(
+    run: RunId,
+    outcome: RunOutcome,
+    events: u32,
+    to_first_event: Duration,
+    to_end: Duration,
+) -> Event {
+    Event::RunEnded(RunReport {
+        run,
+        service: SERVICE.into(),
+        outcome,
+        to_first_event: (events > 0).then_some(to_first_event),
+        to_end,
+        events,
+    })
+}
+
+/// A run that was granted before the crashes, so that its entry node may not have heard that its content is suspected.
+#[test]
+fn a_segment_is_sound_if_a_run_began_to_write_after_the_crashes_and_not_before() {
+    for (to_first_event, is_sound) in [(GAP / 2, false), (GAP * 5, true)] {
+        for outcome in [RunOutcome::Completed, RunOutcome::Cancelled] {
+            let mut owner = owner();
+            granted_upstream(request_slot(&mut owner, START, request(1, &[BAD])));
+            let at = crash_in_a_row(&mut owner, START, 5, &[BAD]);
+            let end = run_ended(1, outcome, 30, to_first_event, at - START);
+            owner.reduce(at, end);
+            let at = at + Duration::from_millis(50);
+            assert_eq!(is_refused(&mut owner, at, 2, &[BAD]), !is_sound);
+        }
+    }
+}
+
+#[test]
+fn a_request_is_sound_if_it_was_answered_whole_after_its_crashes() {
+    let same_request = |run| SlotRequest {
+        fingerprint: 99,
+        ..request(run, &[])
+    };
+    for (outcome, is_sound) in [
+        (RunOutcome::Completed, true),
+        (RunOutcome::Cancelled, false),
+    ] {
+        let mut owner = owner();
+        granted_upstream(request_slot(&mut owner, START, same_request(1)));
+        for number in 0..3 {
+            let at = START + GAP * number as u32;
+            let mut crashed = crash(number, number, Duration::ZERO, &[]);
+            crashed.requests = vec![99];
+            observe(&mut owner, at, crashed);
+        }
+        let at = START + GAP * 3 + SETTLED;
+        owner.reduce(at, run_ended(1, outcome, 30, GAP, at - START));
+        let at = at + Duration::from_millis(50);
+        let decision = request_slot(&mut owner, at, same_request(2));
+        match decision {
+            Some(SlotDecision::Granted(_)) => assert!(is_sound),
+            decision => {
+                assert_eq!(refusal(decision).reason, RefusalReason::CrashSuspect);
+                assert!(!is_sound);
+            }
+        }
+    }
+}
+
+/// The entry nodes tell the nodes that they take for the first in rank, which the owner may not be among.
+#[test]
+fn an_owner_learns_of_crashes_from_the_ends_of_runs_alone() {
+    let mut owner = owner();
+    let mut at = START;
+    for run in 0..4 {
+        at = START + (GAP + SETTLED) * run as u32;
+        owner.reduce(at, Event::Ticked);
+        granted_upstream(request_slot(&mut owner, at, request(run, &[BAD])));
+        owner.reduce(at, run_ended(run, RunOutcome::Broken, 0, GAP, GAP));
+    }
+    at += SETTLED;
+    owner.reduce(at, Event::Ticked);
+    assert!(is_refused(&mut owner, at, 10, &[BAD]));
+    assert!(!is_refused(&mut owner, at, 11, &[OTHER]));
+}
+
+#[test]
+fn an_entry_node_holds_back_content_by_crashes_of_which_all_nodes_have_heard() {
+    let mut entry = owner();
+    let at = crash_in_a_row(&mut entry, START, 4, &[BAD]);
+    assert!(!entry.holds_crashing_content(at, &request(1, &[BAD])));
+    let heard = at + Duration::from_secs(2);
+    assert!(entry.holds_crashing_content(heard, &request(1, &[BAD])));
+    assert!(!entry.holds_crashing_content(heard, &request(1, &[OTHER])));
+    observe_sound(&mut entry, heard, BAD, Duration::ZERO);
+    assert!(!entry.holds_crashing_content(heard, &request(1, &[BAD])));
+}
+
 #[test]
 fn an_owner_that_may_not_see_the_segments_of_a_prompt_refuses_it_too() {
     let mut owner = owner();
