Count upstreams that left the registry before their runs broke off

A VM that loses power may leave the registry before the entry nodes take its streams for broken. Such runs end on a way of their own, which told nothing to the rate at which upstreams break off: after 18 of 140 upstreams broke off so, no run was copied. Each upstream counts once here too: its runs keep the time at which others there broke off.

--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -37,7 +37,7 @@
         share_rules::ShareRules,
         speed::{RouteAverages, Speed},
         stream_versions::{SeenVersions, StreamVersion},
-        upstream::{LiveUpstream, Run, Upstream},
+        upstream::{LiveUpstream, UnlistedRun, Upstream},
         warm_up::WarmUpRules,
     },
     std::{
@@ -67,7 +67,7 @@
     /// When runs whose end was never reported were last looked for.
     swept_at: MonotonicTime,
     /// Runs at upstreams that left the registry; their ends are still reported.
-    unlisted_runs: HashMap<RunId, Run>,
+    unlisted_runs: HashMap<RunId, UnlistedRun>,
     queue: WaitQueue,
     averages: RouteAverages,
     arrivals: ArrivalRates,
@@ -147,7 +147,11 @@
             self.upstreams.push(upstream);
         }
         for (_, removed) in previous {
-            self.unlisted_runs.extend(removed.runs);
+            let runs = removed.runs.into_iter().map(|(id, run)| {
+                let last_break_at = removed.last_break_at.clone();
+                (id, UnlistedRun { run, last_break_at })
+            });
+            self.unlisted_runs.extend(runs);
         }
         let listed = self.upstreams.iter();
         let versions = listed.map(|upstream| upstream.entry.version.clone());
--- a/crates/dragonflystep_dispatch/src/pool/refusing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/refusing.rs
@@ -12,7 +12,7 @@
         messages::{RefusalReason, SlotDecision, SlotRequest},
         refusal::{predicted_wait, refuse},
         speed::Speed,
-        upstream::LiveUpstream,
+        upstream::{LiveUpstream, UnlistedRun},
     },
     std::{
         ops::Bound::{Excluded, Unbounded},
@@ -67,7 +67,7 @@
         self.run_index
             .retain(|run, index| upstreams[*index].runs.contains_key(run));
         self.unlisted_runs
-            .retain(|_, run| now < run.end_expected_at + run.request.time_left);
+            .retain(|_, UnlistedRun { run, .. }| now < run.end_expected_at + run.request.time_left);
     }
 
     /// Remembers a request that is refused without having been queued.
--- a/crates/dragonflystep_dispatch/src/pool/runs.rs
+++ b/crates/dragonflystep_dispatch/src/pool/runs.rs
@@ -8,6 +8,7 @@
         limits::MAX_SUSPENDED_SHARE,
         messages::{ActiveRun, BackOff, RunCopy, RunOutcome, RunReport, SlotRequest, UpstreamLoad},
         placement::predict,
+        upstream::UnlistedRun,
     },
 };
 
@@ -33,7 +34,11 @@
         report: &RunReport,
     ) -> Option<FinishedRun> {
         let Some(index) = self.run_index.remove(&report.run) else {
-            let run = self.unlisted_runs.remove(&report.run)?;
+            let UnlistedRun { run, last_break_at } = self.unlisted_runs.remove(&report.run)?;
+            if report.outcome == RunOutcome::Broken {
+                self.break_rate
+                    .record(now, last_break_at.replace(Some(now)));
+            }
             self.end_copy(now, &run, report.outcome);
             return Some(FinishedRun {
                 request: run.request,
@@ -45,7 +50,7 @@
         let run = upstream.runs.remove(&report.run)?;
         self.search.note_freed(index);
         if report.outcome == RunOutcome::Broken {
-            let last_break_at = upstream.last_break_at.replace(now);
+            let last_break_at = upstream.last_break_at.replace(Some(now));
             self.break_rate.record(now, last_break_at);
         }
         if let Some(duration) = upstream.record_outcome(now, report.outcome, may_back_off) {
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -17,7 +17,7 @@
         speed::Speed,
     },
     serde::{Deserialize, Serialize},
-    std::{cmp::Reverse, collections::HashMap, time::Duration},
+    std::{cell::Cell, cmp::Reverse, collections::HashMap, rc::Rc, time::Duration},
 };
 
 /// An upstream's entry in the registry.
@@ -71,6 +71,14 @@
     pub(crate) work_ms: f64,
 }
 
+/// An active run at an upstream that left the registry.
+#[derive(Debug)]
+pub(crate) struct UnlistedRun {
+    pub(crate) run: Run,
+    /// When runs at its upstream last broke off.
+    pub(crate) last_break_at: Rc<Cell<Option<MonotonicTime>>>,
+}
+
 /// An upstream with everything that its owner knows about it.
 #[derive(Debug)]
 pub(crate) struct LiveUpstream {
@@ -80,8 +88,8 @@
     pub(crate) prefix_cache: PrefixCache,
     /// Copies of runs at other upstreams.
     pub(crate) copies: HeldCopies,
-    /// When runs there last broke off.
-    pub(crate) last_break_at: Option<MonotonicTime>,
+    /// When runs there last broke off; also held by its runs once it left the registry.
+    pub(crate) last_break_at: Rc<Cell<Option<MonotonicTime>>>,
     /// Exponentially weighted share of its recent runs that failed.
     pub(crate) failure_rate: f64,
     /// Number of canaries that it got.
@@ -121,7 +129,7 @@
             speed,
             prefix_cache: PrefixCache::new(cache_tokens),
             copies: HeldCopies::default(),
-            last_break_at: None,
+            last_break_at: Rc::default(),
             failure_rate: 0.0,
             canaries: 0,
             foreign_runs: 0,
--- a/crates/dragonflystep_dispatch/tests/break_rates.rs
+++ b/crates/dragonflystep_dispatch/tests/break_rates.rs
@@ -105,6 +105,35 @@
     assert!(!is_copied(&mut owner, START, repeatable(5, 1)));
 }
 
+#[test]
+fn upstreams_count_as_broken_off_also_if_they_left_the_registry_before() {
+    let mut owner = owner();
+    let placed = (0..2 * UPSTREAMS as u64).map(|run| {
+        let run = 1_000 + run;
+        (
+            run,
+            grant_for(&mut owner, START, request(run, 0, 120)).upstream,
+        )
+    });
+    let placed: Vec<_> = placed.collect();
+    let left = (18..UPSTREAMS).map(|index| upstream(index, SLOTS));
+    owner.reduce(START, Event::UpstreamsChanged(left.collect()));
+    for (run, upstream) in placed {
+        let index: usize = upstream["engine-".len()..].parse().expect("an index");
+        let outcome = if index < 18 {
+            RunOutcome::Broken
+        } else {
+            RunOutcome::Completed
+        };
+        owner.reduce(START, ended(run, outcome));
+    }
+    assert!(is_copied(&mut owner, START, request(1, 0, 120)));
+    assert!(
+        !is_copied(&mut owner, START, request(2, 3, 120)),
+        "each counts once"
+    );
+}
+
 #[test]
 fn runs_are_no_longer_copied_when_upstreams_have_been_well_for_a_while() {
     let mut owner = owner();
