Count refusals by how they stood to the account's share

The dispatcher returns the class of each request that it refused for overload (below, within or above its account's share) and the number of accounts held back; the owner exports share_refusals_total and accounts_held_back.

Cause of the change of what counts as held back: it was logged only for accounts that had received a tenth more than their share. An account that surges alone never does, since its requests wait, so that neither the log nor a gauge would have named it. Now it is held back from when it asks for a tenth more than its share until it asks for less; an account alone in its tier never is. Decisions don't follow from it. The log line has waiting_ms.

The tests of the edge crate were not run.

--- a/crates/dragonflystep_dispatch/src/account_shares.rs
+++ b/crates/dragonflystep_dispatch/src/account_shares.rs
@@ -111,10 +111,12 @@
     pub account: Option<AccountName>,
     /// Tier of its requests.
     pub tier: Tier,
-    /// Whether its requests go behind those of other accounts from now on.
+    /// Whether some of its requests go behind those of other accounts from now on.
     pub is_held_back: bool,
     /// Work that it received lately, in milliseconds of one slot.
     pub received_ms: f64,
+    /// Work that it waits for, in milliseconds of one slot.
+    pub waiting_ms: f64,
     /// Work that it was owed in the same time, in milliseconds of one slot.
     pub owed_ms: f64,
 }
@@ -140,7 +142,7 @@
     received: HashMap<Claimant, Received>,
     /// What the accounts that asked for more were owed at the last update, in milliseconds of one slot.
     owed_ms: HashMap<Claimant, f64>,
-    /// The accounts that had received more.
+    /// The accounts that asked for more, some of whose requests go behind those of others.
     above: HashSet<Claimant>,
 }
 
@@ -215,7 +217,7 @@
         }
     }
 
-    /// Finds the accounts that are above their shares, at most once per [`SHARE_INTERVAL`]. `waiting` holds the tier, the
+    /// Finds what the accounts are owed and who asks for more, at most once per [`SHARE_INTERVAL`]. `waiting` holds the tier, the
     /// account and the work of each waiting request. Returns whether it did.
     pub(crate) fn update<'a>(
         &mut self,
@@ -261,6 +263,7 @@
             tier,
             is_held_back: false,
             received_ms: 0.0,
+            waiting_ms: 0.0,
             owed_ms: f64::INFINITY,
         }
     }
@@ -303,17 +306,21 @@
         self.owed_ms.clear();
         let mut before = std::mem::take(&mut self.above);
         let mut changes = Vec::new();
+        let is_alone = claims.len() == 1;
         let level_ms = limit_claims(&mut claims);
         for claim in claims {
             let owed_ms = level_ms * claim.weight;
             let was_above = before.remove(&claim.account);
-            let is_above = claim.received_ms > owed_ms * (1.0 + SHARE_TOLERANCE);
+            // It is let go only once it asks for less than its share, so that the log does not tell of each request.
+            let asks_more = claim.demand_ms() > owed_ms * (1.0 + SHARE_TOLERANCE);
+            let is_above = !is_alone && (was_above || asks_more);
             if is_above != was_above {
                 changes.push(ShareChange {
                     account: claim.account.clone(),
                     tier,
                     is_held_back: is_above,
                     received_ms: claim.received_ms,
+                    waiting_ms: claim.waiting_ms,
                     owed_ms,
                 });
             }
--- a/crates/dragonflystep_dispatch/tests/share_decisions.rs
+++ b/crates/dragonflystep_dispatch/tests/share_decisions.rs
@@ -5,7 +5,7 @@
 use {
     dragonflystep_dispatch::{
         Account, AccountQuota, ActiveRun, Catalogue, Dispatcher, Event, QuotaUnit, RefusalReason,
-        RunId, RunOutcome, ShareRules, SharedLimits, SlotDecision, SlotRequest,
+        RunId, RunOutcome, ShareClass, ShareRules, SharedLimits, SlotDecision, SlotRequest,
     },
     proptest::prelude::{ProptestConfig, prop_assert, proptest},
     std::{
@@ -431,7 +431,7 @@
         }
     };
     note(&mut scene);
-    assert_eq!(scene.owner.held_back_accounts(), 1);
+    assert_eq!(scene.owner.held_back_accounts(), 2);
     scene.run(&[], 10_000);
     note(&mut scene);
     assert_eq!(scene.owner.held_back_accounts(), 0);
@@ -442,7 +442,10 @@
 #[test]
 fn an_account_that_is_forgotten_is_no_longer_held_back() {
     let mut scene = held_back_owner(shares(true));
-    // Nothing happens for so long that all is forgotten, not even a tick.
+    // All callers give up, and nothing happens for so long that all is forgotten, not even a tick.
+    for run in 1..scene.next_run {
+        scene.apply(Event::RequestWithdrawn(SERVICE.into(), run));
+    }
     scene.ends.clear();
     scene.now_ms += 300_000;
     scene.request(0, Some("c"), 1);
@@ -453,6 +456,37 @@
     assert!(!last.expect("it was held back").1.is_held_back);
 }
 
+#[test]
+fn an_account_that_asks_for_more_is_held_back_and_its_refusals_are_counted_as_above() {
+    let mut scene = Scene::new(shares(true), &[]);
+    let senders = [Sender::new("a", 200), Sender::new("b", 2)];
+    scene.run(&senders, 3_000);
+    assert_eq!(scene.owner.held_back_accounts(), 1);
+    let changes = scene.owner.take_share_changes();
+    let [(service, change)] = &changes[..] else {
+        panic!("one account is held back, once: {changes:?}");
+    };
+    assert_eq!(
+        (&**service, change.account.as_deref()),
+        (SERVICE, Some("a"))
+    );
+    assert!(change.is_held_back && change.received_ms + change.waiting_ms > change.owed_ms);
+    let classes = scene.owner.take_share_refusals();
+    let refused = scene.decided.iter().filter(|it| !it.is_granted).count();
+    assert_eq!(classes.len(), refused);
+    scene.run(&senders, 6_000);
+    let classes = scene.owner.take_share_refusals();
+    assert!(classes.len() > 100);
+    assert!(classes.iter().all(|class| *class == ShareClass::Above));
+}
+
+#[test]
+fn an_account_alone_is_not_held_back() {
+    let mut scene = Scene::new(shares(true), &[]);
+    scene.run(&[Sender::new("a", 200)], 3_000);
+    assert_eq!(scene.owner.held_back_accounts(), 0);
+}
+
 /// A run of account `a` that another owner granted.
 fn active_run(run: RunId) -> ActiveRun {
     ActiveRun {
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -81,7 +81,7 @@
     /// Number of tunnels that this node serves for others.
     pub(crate) open_tunnels: RefCell<OpenTunnels>,
     pub(crate) upstream_health: UpstreamHealth,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Rc<Metrics>,
     pub(crate) views: Views,
     pub(crate) list_fetches: ListFetches,
     pub(crate) rollouts: Rc<Rollouts>,
@@ -128,8 +128,13 @@
             cpu_share: settings.cpu_share,
         };
         let rollouts = Rc::new(Rollouts::default());
+        let metrics = Rc::new(Metrics::default());
         Self {
-            owner: Rc::new(Owner::new(settings.shared_limits, rollouts.clone())),
+            owner: Rc::new(Owner::new(
+                settings.shared_limits,
+                rollouts.clone(),
+                metrics.clone(),
+            )),
             members: Members::new(own_record, network.clone()),
             entry_runs: EntryRuns::new(
                 settings.shared_limits.quota.window,
@@ -140,7 +145,7 @@
             break_check: Mutex::default(),
             open_tunnels: RefCell::default(),
             upstream_health: UpstreamHealth::default(),
-            metrics: Metrics::default(),
+            metrics,
             views: Views::default(),
             list_fetches: ListFetches::default(),
             rollouts,
--- a/crates/dragonflystep_edge/src/node/gauges.rs
+++ b/crates/dragonflystep_edge/src/node/gauges.rs
@@ -29,6 +29,7 @@
             ),
             ("refused_content", refused_content as f64),
             ("upstream_crashes_known", crashes as f64),
+            ("accounts_held_back", self.owner.held_back_accounts() as f64),
             ("streams_known", self.owner.stream_count() as f64),
             ("runs_of_this_entry", self.entry_runs.count() as f64),
             (
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         limits::{BUSY_TICK, IDLE_TICK, SUMMARY_LOG_INTERVAL},
+        metrics::Metrics,
         rollouts::Rollouts,
     },
     dragonflystep_dispatch::{
@@ -39,6 +40,7 @@
     /// Wakes the loop that ticks the dispatcher when a slot request has to wait.
     request_queued: Notify,
     rollouts: Rc<Rollouts>,
+    metrics: Rc<Metrics>,
     /// Notified when the content changed that this node refuses as the owner.
     pub(crate) refused_content_changed: Notify,
     /// Notified when slots were granted to streams that other nodes have to know of.
@@ -47,7 +49,7 @@
 }
 
 impl Owner {
-    pub(crate) fn new(limits: SharedLimits, rollouts: Rc<Rollouts>) -> Self {
+    pub(crate) fn new(limits: SharedLimits, rollouts: Rc<Rollouts>, metrics: Rc<Metrics>) -> Self {
         Self {
             started: Instant::now(),
             dispatcher: RefCell::new(Dispatcher::new(limits)),
@@ -62,6 +64,7 @@
             }),
             request_queued: Notify::new(),
             rollouts,
+            metrics,
             refused_content_changed: Notify::new(),
             streams_granted: Notify::new(),
             is_registry_fresh: Cell::new(true),
@@ -91,6 +94,7 @@
         let back_offs = dispatcher.take_back_offs();
         let content_changes = dispatcher.take_content_changes();
         let share_changes = dispatcher.take_share_changes();
+        let share_refusals = dispatcher.take_share_refusals();
         if dispatcher.has_granted_streams() {
             self.streams_granted.notify_one();
         }
@@ -99,8 +103,12 @@
             let node_start = node_incarnation_of(back_off.run);
             log::info!(upstream:% = back_off.upstream, node_start, outcome = back_off.outcome.name(), back_off_ms = back_off.duration.as_millis() as u64; "upstream is backed off");
         }
+        for share_class in share_refusals {
+            self.metrics
+                .count("share_refusals_total", share_class.name());
+        }
         for (service, change) in share_changes {
-            log::info!(service:%, account:% = change.account, tier = change.tier, is_held_back = change.is_held_back, received_ms = change.received_ms as u64, owed_ms = change.owed_ms.min(1e12) as u64; "an account's share changed");
+            log::info!(service:%, account = change.account.as_deref().unwrap_or(""), tier = change.tier, is_held_back = change.is_held_back, received_ms = change.received_ms as u64, waiting_ms = change.waiting_ms as u64, owed_ms = change.owed_ms.min(1e12) as u64; "an account's share changed");
         }
         if !content_changes.is_empty() {
             self.refused_content_changed.notify_one();
@@ -213,6 +221,11 @@
         (dispatcher.refused_content_count(), dispatcher.crash_count())
     }
 
+    /// Number of accounts whose requests go behind those of others, counted in each service and tier.
+    pub(crate) fn held_back_accounts(&self) -> usize {
+        self.dispatcher.borrow().held_back_accounts()
+    }
+
     /// The content of a request that is suspected of a crash.
     pub(crate) fn suspected_content(&self, request: &SlotRequest) -> Vec<ContentKey> {
         self.dispatcher.borrow().suspected_content(request)
