Log by which fingerprint requests come again, and retries after server errors

Cause: a caller that tries again has a new request id, so the log did not show who is served in the end and who never. The fingerprint, which the owner already uses, is now in each line that ends a request, and a retry after a server error has a line of its own with its upstream.

--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -113,6 +113,7 @@
                     if !is_repeatable || !self.may_send_again(&attempts) {
                         break response;
                     }
+                    self.log_server_error(response.status(), &attempts);
                     server_error = Some(response);
                 }
                 DispatchOutcome::NotRun(reason) => {
--- a/crates/dragonflystep_edge/src/job_end.rs
+++ b/crates/dragonflystep_edge/src/job_end.rs
@@ -28,7 +28,7 @@
         if refusal.reason == RefusalReason::CrashSuspect {
             log::info!(request:% = self.facts.request_id, content:% = self.content(); "the request holds content that crashes upstreams");
         }
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), quota_units = self.quota_units, reason = reply.reason, sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), fingerprint:% = self.fingerprint_hex(), quota_units = self.quota_units, reason = reply.reason, sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
         reply.response(&self.node, &self.facts.request_id)
     }
 
@@ -47,6 +47,16 @@
         shared.chain([request]).collect::<Vec<_>>().join(",")
     }
 
+    /// The fingerprint for log records. It joins the requests of a caller that tries again, whose ids differ.
+    pub(crate) fn fingerprint_hex(&self) -> String {
+        format!("{:016x}", self.fingerprint)
+    }
+
+    /// Logs that a request is sent again because an upstream answered with a server error.
+    pub(crate) fn log_server_error(&self, status: StatusCode, attempts: &Attempts) {
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), status = status.as_u16(), upstream = attempts.last_upstream(), sent = attempts.sent; "retrying after an upstream's server error");
+    }
+
     /// Counts a run that broke off after `events` events of its answer.
     pub(crate) fn count_broken_run(&self, events: u32) {
         let progress = if events == 0 {
@@ -76,7 +86,7 @@
         if attempts.has_run {
             return self.fail_unknown(reason);
         }
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, reason, held_ms = ms(self.arrived.elapsed()); "request ended without having run");
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, held_ms = ms(self.arrived.elapsed()); "request ended without having run");
         LocalReply::not_run(reason, OTHER_NODE_RETRY_AFTER)
             .response(&self.node, &self.facts.request_id)
     }
@@ -88,7 +98,7 @@
         } else {
             StatusCode::BAD_GATEWAY
         };
-        log::warn!(request:% = self.facts.request_id, route:% = self.route.name, reason, held_ms = ms(self.arrived.elapsed()); "request ended, it may have run");
+        log::warn!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, held_ms = ms(self.arrived.elapsed()); "request ended, it may have run");
         LocalReply::new(status, reason).response(&self.node, &self.facts.request_id)
     }
 
@@ -99,7 +109,7 @@
             .metrics
             .observe("request_ms", &self.route.name, elapsed);
         self.count_end(outcome_counter(status, elapsed <= self.route.objective));
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, status = status.as_u16(), upstream = attempts.last_upstream(), sent = attempts.sent, queued_ms = ms(attempts.queued), total_ms = ms(elapsed), catalogue = self.node.views.catalogue_version(); "request ended");
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), status = status.as_u16(), upstream = attempts.last_upstream(), sent = attempts.sent, queued_ms = ms(attempts.queued), total_ms = ms(elapsed), catalogue = self.node.views.catalogue_version(); "request ended");
     }
 }
 
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -264,7 +264,7 @@
             }
             RelayEnd::CallerDisconnected => {
                 job.count_end(CALLER_LEFT);
-                log::info!(request:% = job.facts.request_id; "caller disconnected during its stream");
+                log::info!(request:% = job.facts.request_id, route:% = job.route.name, fingerprint:% = job.fingerprint_hex(); "caller disconnected during its stream");
                 return;
             }
             RelayEnd::TimedOut | RelayEnd::Broken => {}
@@ -274,7 +274,7 @@
             _ => None,
         };
         let Some(next) = next else {
-            log::warn!(request:% = job.facts.request_id, sent = attempts.sent; "stream can't be completed; closing the caller's connection");
+            log::warn!(request:% = job.facts.request_id, route:% = job.route.name, fingerprint:% = job.fingerprint_hex(), sent = attempts.sent; "stream can't be completed; closing the caller's connection");
             job.node.metrics.count("streams_cut_total", &job.route.name);
             job.count_end(FAILED);
             // Sending fails only if the caller has disconnected meanwhile; its connection is closed either way.
@@ -297,7 +297,7 @@
     let first_ms = caller.first_event_after.map_or(0, ms);
     let upstream = attempts.last_upstream();
     let version = attempts.stream_version.as_deref().unwrap_or("");
-    log::info!(request:% = job.facts.request_id, route:% = job.route.name, status = 200, upstream, version, sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
+    log::info!(request:% = job.facts.request_id, route:% = job.route.name, fingerprint:% = job.fingerprint_hex(), status = 200, upstream, version, sent = attempts.sent, queued_ms = ms(attempts.queued), first_event_ms = first_ms, longest_pause_ms = ms(caller.longest_pause), total_ms = ms(job.arrived.elapsed()); "stream ended");
 }
 
 /// Records the pause before the first event after a run went on from a copy.
