Let callers that come back wait instead of refusing them by a prediction

Cause: a request that was refused and came back was measured against the predicted wait again. The prediction takes the arrivals of the last seconds for lasting and leaves the lowest tier a twentieth of the slots, so nearly all that came back in a burst were refused at once for good, with two thirds of their time left.

A returned request now keeps its place in the queue until it has waited as long as it may. Order, tiers and the reply 'not run' are as before.

--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -244,7 +244,7 @@
         let account_work_ms = self.queue.account_work_ms(tier, account);
         let share_class = self.shares.class_of(now, tier, account, account_work_ms);
         // While no request waits, the estimate is needed only if this one gets no slot.
-        let wait = (!self.queue.is_empty()).then(|| {
+        let wait = (!self.queue.is_empty() && !was_refused).then(|| {
             let ahead_ms = self
                 .queue
                 .work_ahead_ms(now, &request, share_class, is_late);
@@ -268,7 +268,9 @@
             },
         );
         self.place_waiting(now, effects);
-        if effects.iter().any(|effect| effect.run == run) {
+        // The prediction assumes that requests keep arriving at the present rate, and most bursts end before a caller gives up.
+        // A caller that has come back seldom comes again, so it waits for as long as it may.
+        if was_refused || effects.iter().any(|effect| effect.run == run) {
             return;
         }
         let wait = wait.unwrap_or_else(|| {
