--- a/crates/dragonflystep_dispatch/tests/break_rates.rs
+++ b/crates/dragonflystep_dispatch/tests/break_rates.rs
@@ -26,9 +26,15 @@
 const UPSTREAMS: usize = 140;
 const SLOTS: u32 = 6;
 
+/// Copies runs of which two in a thousand would be lost.
+const RULES: CopyRules = CopyRules {
+    min_break_probability: 0.002,
+    max_memory_share: 0.25,
+};
+
 fn owner() -> Dispatcher {
     let upstreams = (0..UPSTREAMS).map(|index| upstream(index, SLOTS));
-    let mut owner = owner_of(upstreams.collect(), SLOTS, CopyRules::default());
+    let mut owner = owner_of(upstreams.collect(), SLOTS, RULES);
     let mut catalogue = copying_catalogue(SLOTS, true);
     let engine = catalogue.services[0].engine.as_mut();
     engine.expect("the service runs on engines").cache_tokens = 400_000;
