--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -253,7 +253,7 @@
             .shares
             .class_of(now, tier, &request.account, account_ms);
         // While no request waits, the estimate is needed only if this one gets no slot.
-        let wait = (!self.queue.is_empty() && !was_refused).then(|| {
+        let wait = (!self.queue.is_empty()).then(|| {
             let ahead_ms = self
                 .queue
                 .work_ahead_ms(now, &request, share_class, is_late);
@@ -277,9 +277,7 @@
             },
         );
         self.place_waiting(now, effects);
-        // The prediction assumes that requests keep arriving at the present rate, and most bursts end before a caller gives up.
-        // A caller that has come back seldom comes again, so it waits for as long as it may.
-        if was_refused || effects.iter().any(|effect| effect.run == run) {
+        if effects.iter().any(|effect| effect.run == run) {
             return;
         }
         let wait = wait.unwrap_or_else(|| {
--- a/crates/dragonflystep_dispatch/src/refusal.rs
+++ b/crates/dragonflystep_dispatch/src/refusal.rs
@@ -2,8 +2,7 @@
 //!
 //! It is designed for work that arrives at up to twice the rate at which the upstreams finish it. A request that would
 //! wait longer than its caller can is refused at once, so that no caller waits in vain. The refusal contains the time
-//! after which the queue is predicted to be short enough for the request to be served when its caller comes back. A
-//! caller that has come back is not refused at once again: it waits, and is refused if it has waited as long as it may.
+//! after which the queue is predicted to be short enough for the request to be served when its caller comes back.
 
 use {
     crate::{
--- a/crates/dragonflystep_dispatch/tests/support/mod.rs
+++ b/crates/dragonflystep_dispatch/tests/support/mod.rs
@@ -92,8 +92,6 @@
     pub in_time: u32,
     /// Requests that were answered but not in time.
     pub late: u32,
-    /// Requests whose answer ended only after their callers had given up.
-    pub abandoned: u32,
     /// Requests that were refused for good.
     pub refused: u32,
     /// Longest time from the first try of a request to its final refusal.
@@ -403,9 +401,7 @@
         let is_in_time = first_event_ms - request.at_ms <= spec.objective_ms
             && run.longest_pause_ms <= spec.max_pause_ms;
         let outcome = self.result.kinds.entry(spec.name).or_default();
-        if now - request.at_ms > request.caller_timeout_ms {
-            outcome.abandoned += 1;
-        } else if is_in_time {
+        if is_in_time {
             outcome.in_time += 1;
         } else {
             outcome.late += 1;
