--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -7,6 +7,7 @@
 mod refusing;
 mod rolling;
 mod runs;
+mod sharing;
 mod summary;
 mod warming;
 
@@ -19,7 +20,7 @@
         placing::Choice,
     },
     crate::{
-        account_shares::{AccountShares, AccountWeights, ShareChange, ShareClass},
+        account_shares::{AccountShares, ShareClass},
         break_rate::BreakRate,
         catalogue::{Engine, WarmUp},
         copy_rules::CopyRules,
@@ -34,7 +35,6 @@
         refused_requests::RefusedRequests,
         retry_budget::RetryBudget,
         rollout::{Rollout, RolloutRules},
-        share_rules::ShareRules,
         speed::{RouteAverages, Speed},
         stream_versions::{SeenVersions, StreamVersion},
         upstream::{LiveUpstream, Run, Upstream},
@@ -44,7 +44,6 @@
         cell::Cell,
         collections::{BTreeMap, HashMap, HashSet},
         rc::Rc,
-        sync::Arc,
         time::Duration,
     },
 };
@@ -333,53 +332,6 @@
         }
     }
 
-    /// Finds what the accounts are owed, and how their requests stand to it.
-    fn update_shares(&mut self, now: MonotonicTime) {
-        let waiting = self.queue.iter().map(|queued| {
-            let request = &queued.request;
-            (request.tier, &request.account, queued.run_ms)
-        });
-        if self.shares.update(now, waiting) {
-            let shares = &self.shares;
-            self.queue.classify(|request, ahead_ms| {
-                shares.class_of(now, request.tier, &request.account, ahead_ms)
-            });
-        }
-    }
-
-    pub(crate) fn set_share_rules(&mut self, rules: ShareRules) {
-        self.shares.set_rules(rules);
-        if !rules.is_enabled {
-            self.queue.classify(|_, _| ShareClass::Below);
-        }
-    }
-
-    /// Lets go of accounts that are held back although nobody asks any more.
-    pub(crate) fn release_shares(&mut self, now: MonotonicTime) {
-        if self.queue.is_empty() && self.shares.held_back_count() > 0 {
-            self.update_shares(now);
-        }
-    }
-
-    /// Returns the number of accounts that are held back, counted in each tier.
-    pub(crate) fn held_back_count(&self) -> usize {
-        self.shares.held_back_count()
-    }
-
-    /// Returns how the requests that were refused for overload since the last call stood to the shares of their accounts.
-    pub(crate) fn take_share_refusals(&mut self) -> Vec<ShareClass> {
-        std::mem::take(&mut self.share_refusals)
-    }
-
-    pub(crate) fn set_account_weights(&mut self, weights: Arc<AccountWeights>) {
-        self.shares.set_weights(weights);
-    }
-
-    /// Returns the accounts whose requests go behind others, or no longer do, since the last call.
-    pub(crate) fn take_share_changes(&mut self) -> Vec<ShareChange> {
-        self.shares.take_changes()
-    }
-
     /// Whether a waiting request may get a slot. Those that resume a stream may do so at upstreams which a roll-out keeps from
     /// other requests.
     fn may_grant(&self, free_upstreams: &FreeUpstreams) -> bool {
