--- a/crates/dragonflystep_dispatch/src/pool/copying.rs
+++ b/crates/dragonflystep_dispatch/src/pool/copying.rs
@@ -48,8 +48,9 @@
         source: usize,
         prediction: &Prediction,
     ) -> Option<ChosenCopy> {
+        // A run goes on only once its upstream has stopped it, which upstreams without moves can't be told to do.
         self.cache_transfer()
-            .filter(|transfer| transfer.has_backups)?;
+            .filter(|transfer| transfer.has_backups && transfer.has_moves)?;
         let is_copied = request.longest_pause.is_some()
             && request.continues_at().is_none()
             && !self.verdicts.suspects(request)
--- a/crates/dragonflystep_dispatch/tests/run_copies.rs
+++ b/crates/dragonflystep_dispatch/tests/run_copies.rs
@@ -281,6 +281,18 @@
     assert_eq!(copies, HashMap::from([("engine-1".to_owned(), MAX_COPIES)]));
 }
 
+#[test]
+fn nothing_is_copied_if_engines_cannot_be_told_to_stop_a_run() {
+    let mut owner = copying_owner(2, SLOTS);
+    let mut catalogue = copying_catalogue(SLOTS, true);
+    let engine = catalogue.services[0].engine.as_mut();
+    let engine = engine.expect("the service runs on engines");
+    let transfer = engine.cache_transfer.as_mut();
+    transfer.expect("engines copy").has_moves = false;
+    owner.reduce(START, Event::CatalogueChanged(Arc::new(catalogue)));
+    assert_eq!(grant_for(&mut owner, START, plain_request(1, 0)).copy, None);
+}
+
 #[test]
 fn nothing_is_copied_without_facts_of_the_engines_or_by_rules_that_copy_nothing() {
     let mut owner = copying_owner(2, SLOTS);
--- a/crates/dragonflystep_dispatch/tests/support/copies.rs
+++ b/crates/dragonflystep_dispatch/tests/support/copies.rs
@@ -35,7 +35,7 @@
         link_mbit_per_s: 100_000.0,
         copy_lifetime: LIFETIME,
         has_backups,
-        has_moves: false,
+        has_moves: true,
     });
     catalogue
 }
