--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -37,6 +37,9 @@
     "requests with content that crashed upstreams are no longer refused",
 ];
 
+/// Log message of owners about accounts whose requests go behind those of others, or no longer do.
+const SHARE_MESSAGE: &str = "an account's share changed";
+
 /// Log messages that record a change of what a node knows about the system, each with its topic.
 const STATE_MESSAGES: [(&str, &str); 7] = [
     ("catalogue in force", "catalogue"),
@@ -92,6 +95,9 @@
     if CONTENT_MESSAGES.contains(&message) {
         return Some(("content", line["content"].as_str()?));
     }
+    if message == SHARE_MESSAGE {
+        return Some(("share", line["account"].as_str()?));
+    }
     let mut states = STATE_MESSAGES.iter();
     let (_, topic) = states.find(|(state, _)| *state == message)?;
     Some((topic, ""))
@@ -128,6 +134,13 @@
         && content.split(',').all(is_held)
 }
 
+/// Whether a log line of an owner is about the share of the account and tier of a request, by the lines of the request.
+fn is_about_share_of(line: &Value, request_lines: &[&Value]) -> bool {
+    let mut request_lines = request_lines.iter();
+    line["message"] == SHARE_MESSAGE
+        && request_lines.any(|of| of["account"] == line["account"] && of["tier"] == line["tier"])
+}
+
 /// Returns the lines of the request, preceded by state changes logged before the first of these lines: the latest one
 /// for each subject and each node that handled the request.
 fn explain(request: &str, mut lines: Vec<Value>) -> Vec<Value> {
@@ -151,8 +164,10 @@
         let is_replaced = state_changes
             .iter()
             .any(|later| later["node"] == line["node"] && state_subject(later) == Some(subject));
-        let is_relevant =
-            nodes.contains(&&line["node"]) || is_about_content_of(line, &request_lines);
+        let is_of_account = line["message"] == SHARE_MESSAGE;
+        let is_relevant = (!is_of_account && nodes.contains(&&line["node"]))
+            || is_about_content_of(line, &request_lines)
+            || is_about_share_of(line, &request_lines);
         if is_relevant && !is_replaced {
             state_changes.push(line);
         }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -146,3 +146,23 @@
     assert_eq!(lines.len(), 3, "{stdout}");
     assert!(lines[0].contains("00cd"), "{stdout}");
 }
+
+#[test]
+fn the_share_of_the_account_comes_before_the_lines_of_a_refused_request() {
+    let owner = concat!(
+        r#"{"time_ms":1,"node":"o","message":"an account's share changed","account":"mill","tier":258,"is_held_back":false}"#,
+        "\n",
+        r#"{"time_ms":2,"node":"o","message":"an account's share changed","account":"mill","tier":258,"is_held_back":true}"#,
+        "\n",
+        r#"{"time_ms":3,"node":"o","message":"an account's share changed","account":"mill","tier":257,"is_held_back":false}"#,
+        "\n",
+        r#"{"time_ms":4,"node":"o","message":"an account's share changed","account":"other","tier":258,"is_held_back":false}"#,
+        "\n",
+        r#"{"time_ms":8,"node":"o","message":"request refused","request":"r1","account":"mill","tier":258}"#,
+        "\n",
+    );
+    let (_, stdout) = explain("r1", &[("o.log", owner)]);
+    let lines: Vec<&str> = stdout.lines().collect();
+    assert_eq!(lines.len(), 2, "{stdout}");
+    assert!(lines[0].contains("\"is_held_back\":true"), "{stdout}");
+}
