review: case 2 with shorter answers, sent 2 s after SIGTERM

Tried: 2 MiB at 640 KiB a second in place of 4 MiB, on requests that the node accepts after SIGTERM.

--- a/review/standins/src/slow_reader.rs
+++ b/review/standins/src/slow_reader.rs
@@ -34,24 +34,25 @@
 const WORK: Duration = Duration::from_millis(30);
 
 /// Length of a plain answer, and number and length of the events of a stream.
-const PLAIN_BYTES: usize = 4 << 20;
-const EVENTS: usize = 66;
-const EVENT_BYTES: usize = 62 << 10;
+const PLAIN_BYTES: usize = 2 << 20;
+const EVENTS: usize = 43;
+const EVENT_BYTES: usize = PLAIN_BYTES / EVENTS;
 
-/// A client reads this many bytes at once, and then waits: 640 KiB a second, so that an answer takes over 6 s.
+/// A client reads this many bytes at once, and then waits: 640 KiB a second, so that an answer takes 3.2 s.
 const READ_BYTES: usize = 64 << 10;
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// Receive buffer of a client, and its segment size, which is that of Ethernet. On loopback the kernel would otherwise take
-/// several megabytes from the node at once.
+/// megabytes from the node at once.
 const RECEIVE_BUFFER: usize = 32 << 10;
 const SEGMENT_BYTES: u32 = 1_460;
 
 /// Time that the clients have, and the timeout of the routes.
 const DEADLINE_MS: u64 = 15_000;
 
-/// The node is stopped this long after the requests were sent, and killed after the grace period.
-const STOP_AFTER: Duration = Duration::from_millis(500);
+/// The clients send their requests this long after SIGTERM. They have not asked for addresses since then, as they keep them
+/// for some seconds.
+const SENT_AFTER: Duration = Duration::from_millis(2_000);
 const GRACE: Duration = Duration::from_secs(8);
 
 async fn serve_worker(id: Rc<str>, record: Record, listener: TcpListener) {
@@ -197,6 +198,12 @@
     sleep(Duration::from_secs(1)).await;
     let node = system.nodes[0].ingress;
     let readings: Shared<Vec<Reading>> = Rc::default();
+    let stopped_at = Instant::now();
+    if has_trouble {
+        system.nodes[0].terminate()?;
+        record.line("SIGTERM to the node of the clients");
+    }
+    sleep(SENT_AFTER).await;
     let clients: Vec<_> = [
         ("/write/a", "plain-1"),
         ("/write/b", "plain-2"),
@@ -214,12 +221,9 @@
         })
     })
     .collect();
-    sleep(STOP_AFTER).await;
     if has_trouble {
-        let stopped_at = Instant::now();
-        system.nodes[0].terminate()?;
-        record.line("SIGTERM to the node of the clients");
-        let ended = timeout(GRACE, system.nodes[0].wait()).await;
+        let left = GRACE.saturating_sub(stopped_at.elapsed());
+        let ended = timeout(left, system.nodes[0].wait()).await;
         let after_s = stopped_at.elapsed().as_secs_f64();
         match ended {
             Ok(status) => record.line(&format!(
