--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -31,11 +31,11 @@
     }
 }
 
-/// The bytes of a request.
-pub fn request(path: &str, id: &str, deadline_ms: u64, body: &str) -> Vec<u8> {
+/// The bytes of a request. `headers` are further header lines, each with its line end.
+pub fn request(path: &str, id: &str, deadline_ms: u64, headers: &str, body: &str) -> Vec<u8> {
     format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n\
-         Authorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+         Authorization: Bearer {KEY}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
     .into_bytes()
@@ -73,13 +73,20 @@
         .position(|window| window == pattern)
 }
 
-/// Sends a request on an open connection and reads the whole answer, which has to state its length.
+/// Sends a request on an open connection and reads the whole answer, which states its length or comes in chunks.
 pub async fn call(stream: &mut TcpStream, request: &[u8]) -> io::Result<(Head, Vec<u8>)> {
     stream.write_all(request).await?;
     let mut buffered = Vec::new();
     let head = read_head(stream, &mut buffered).await?;
     let length = head.length().unwrap_or(0);
-    while buffered.len() < length {
+    let is_whole = |body: &[u8]| {
+        if head.is_chunked() {
+            body.ends_with(b"\r\n0\r\n\r\n")
+        } else {
+            body.len() >= length
+        }
+    };
+    while !is_whole(&buffered) {
         if stream.read_buf(&mut buffered).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/review/standins/src/slow_reader.rs
+++ b/review/standins/src/slow_reader.rs
@@ -127,7 +127,7 @@
     let mut stream = connect_socket()?.connect(node).await?;
     record.line(&format!("client sends {id}, {path}"));
     stream
-        .write_all(&request(path, id, DEADLINE_MS, "a request"))
+        .write_all(&request(path, id, DEADLINE_MS, "", "a request"))
         .await?;
     let mut body = Vec::new();
     let head = read_head(&mut stream, &mut body).await?;
@@ -193,8 +193,14 @@
         route("r-write", "/write/", "non_idempotent"),
         route("r-stream", "/stream/", "stream"),
     ];
-    let mut system =
-        System::start(program, record, NODES, &config(SERVICE, &routes), entries).await?;
+    let mut system = System::start(
+        program,
+        record,
+        NODES,
+        &config(SERVICE, &serde_json::Value::Null, &routes),
+        entries,
+    )
+    .await?;
     sleep(Duration::from_secs(1)).await;
     let node = system.nodes[0].ingress;
     let readings: Shared<Vec<Reading>> = Rc::default();
--- a/review/standins/src/stale_rejection.rs
+++ b/review/standins/src/stale_rejection.rs
@@ -1,6 +1,6 @@
-//! A worker sends a second copy of a rejection late, where the answer to the next request is expected.
+//! A model worker sends a second copy of a rejection late, where the answer to the next request is expected.
 //!
-//! The copy carries the id of the rejected request, so that it belongs to no other one. A node that takes it for the answer
+//! It rejects requests that are larger than its memory, as the protocol's page says. The copy carries the id of the rejected request, so that it belongs to no other one. A node that takes it for the answer
 //! to the next request believes that this one did not run, although the worker is running it.
 
 use {
@@ -29,17 +29,27 @@
     },
 };
 
-const SERVICE: &str = "shop-app";
+const SERVICE: &str = "lm-servers";
 const WORKERS: usize = 3;
-const SLOTS: u32 = 6;
+const SLOTS: u32 = 5;
 const NODES: usize = 3;
 
-/// Time that a worker works on a request.
-const WORK: Duration = Duration::from_millis(60);
+/// Memory of a worker, in tokens.
+const MEMORY_TOKENS: u32 = 697_024;
 
-/// Clients, and the pause of each between two requests: about 150 requests a second, half of what the workers bear.
-const CLIENTS: usize = 30;
-const CLIENT_PAUSE: Duration = Duration::from_millis(130);
+/// Time to the first event of a stream and between two events, and their number.
+const EVENT_GAP: Duration = Duration::from_millis(15);
+const EVENTS: u32 = 4;
+
+/// Prompt tokens and most output tokens of a request, and of one that no worker's memory holds. Of each client's requests,
+/// every sixth is of that size.
+const TOKENS: (u32, u32) = (1_460, 80);
+const OVERSIZED_TOKENS: (u32, u32) = (700_000, 80);
+const OVERSIZED_PERIOD: u32 = 6;
+
+/// Clients, and the pause of each between two requests: about 100 requests a second.
+const CLIENTS: usize = 24;
+const CLIENT_PAUSE: Duration = Duration::from_millis(170);
 const DEADLINE_MS: u64 = 4_000;
 
 /// Time before the first disruption and between two, the length of each, their number, and the time after the last one.
@@ -51,9 +61,8 @@
 /// Workers that are disturbed: 0.6 of all, rounded down.
 const DISTURBED: usize = 1;
 
-/// Of 100 requests to a disturbed worker, it rejects this many (`srv_grey`, `shed`), and of 100 answers it sends this many a
-/// second time (`garble`, `extra late`). Those that it sends again are rejections.
-const REJECTED_PERCENT: u32 = 40;
+/// Of 100 answers of a disturbed worker, this many come a second time (`garble`, `extra late`): rejections, which are a part
+/// of all answers.
 const REPEATED_PERCENT: u32 = 3;
 
 /// What the workers did.
@@ -69,8 +78,7 @@
     runs: Shared<Runs>,
     running: Cell<u32>,
     is_disturbed: Cell<bool>,
-    /// Requests that arrived and answers that were sent during the disruptions, and answers that are to be sent again.
-    arrived: Cell<u32>,
+    /// Answers that were sent during the disruptions, and answers that are to be sent again.
     answered: Cell<u32>,
     repeats_due: Cell<u32>,
 }
@@ -113,62 +121,80 @@
                 ));
                 stream.write_all(&copy).await?;
             }
-            let answer = self.answer(&call, &id).await;
-            stream.write_all(&answer).await?;
+            let answer = self.answer(&mut stream, &call, &id).await?;
             if self.is_disturbed.get() {
                 let answered = self.answered.replace(self.answered.get() + 1);
                 let due = self.repeats_due.get() + u32::from(is_due(answered, REPEATED_PERCENT));
-                let is_rejection = answer.starts_with(b"HTTP/1.1 503");
-                self.repeats_due
-                    .set(due - u32::from(due > 0 && is_rejection));
-                late_copy = (due > 0 && is_rejection).then_some((id, answer));
+                late_copy = answer.filter(|_| due > 0).map(|answer| (id, answer));
+                self.repeats_due.set(due - u32::from(late_copy.is_some()));
             }
         }
         Ok(())
     }
 
-    /// Runs a request or rejects it; returns the answer.
-    async fn answer(&self, call: &ReceivedCall, id: &str) -> Vec<u8> {
+    /// Runs a request or rejects it. Returns the answer if it is a rejection.
+    async fn answer(
+        &self,
+        stream: &mut TcpStream,
+        call: &ReceivedCall,
+        id: &str,
+    ) -> io::Result<Option<Vec<u8>>> {
         let worker = &self.id;
-        if call.header("expect-instance") != *worker {
-            return format!(
-                "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            )
-            .into_bytes();
-        }
-        let is_rejected = self.is_disturbed.get() && {
-            let count = self.arrived.replace(self.arrived.get() + 1);
-            is_due(count, REJECTED_PERCENT)
+        let load = format!("Server-Load: {},0,{SLOTS}", self.running.get());
+        let status = if call.header("expect-instance") != *worker {
+            Some("421 Misdirected Request")
+        } else if tokens_of(call) > MEMORY_TOKENS {
+            Some("503 Service Unavailable")
+        } else {
+            None
         };
-        if is_rejected {
-            self.record
-                .line(&format!("worker {worker} rejects {id}, not executed"));
-            return format!(
-                "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nServer-Load: {},0,{SLOTS}\r\n\
-                 Content-Length: 0\r\n\r\n",
-                self.running.get()
-            )
-            .into_bytes();
+        if let Some(status) = status {
+            self.record.line(&format!(
+                "worker {worker} answers {id} with {status}, not executed"
+            ));
+            let rejection = format!(
+                "HTTP/1.1 {status}\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n{load}\r\nContent-Length: 0\r\n\r\n"
+            );
+            stream.write_all(rejection.as_bytes()).await?;
+            return Ok(Some(rejection.into_bytes()));
         }
         self.record.line(&format!("worker {worker} runs {id}"));
-        let mut runs = self.runs.borrow_mut();
-        let by_request = runs.by_request.entry(id.to_owned()).or_default();
-        by_request.push(worker.clone());
-        drop(runs);
+        self.runs
+            .borrow_mut()
+            .by_request
+            .entry(id.to_owned())
+            .or_default()
+            .push(worker.clone());
         self.running.set(self.running.get() + 1);
-        sleep(WORK).await;
+        let result = self.stream_events(stream, id, &load).await;
         self.running.set(self.running.get() - 1);
-        let body = format!("done {id}\n");
-        format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {worker}.{id}\r\nServer-Load: {},0,{SLOTS}\r\n\
-             Content-Length: {}\r\n\r\n{body}",
-            self.running.get(),
-            body.len()
-        )
-        .into_bytes()
+        result.map(|()| None)
+    }
+
+    async fn stream_events(&self, stream: &mut TcpStream, id: &str, load: &str) -> io::Result<()> {
+        let worker = &self.id;
+        sleep(EVENT_GAP).await;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: {worker}.{id}\r\n{load}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await?;
+        for number in 1..=EVENTS {
+            let event = format!("id: {number}\ndata: {id} {number}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            sleep(EVENT_GAP).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await
     }
 }
 
+/// Tokens of a request's prompt and of its longest answer.
+fn tokens_of(call: &ReceivedCall) -> u32 {
+    let counts = call.header("token-counts").split(',');
+    counts.filter_map(|count| count.parse::<u32>().ok()).sum()
+}
+
 /// Statuses that clients received, by the id of the request; 0 if the connection ended without an answer.
 type Answers = Shared<BTreeMap<String, u16>>;
 
@@ -188,11 +214,10 @@
         }
         let id = format!("{number:04x}{count:08x}");
         let path = if count % 2 == 0 {
-            "/once/order"
+            "/once/2f"
         } else {
-            "/other/order"
+            "/other/2f"
         };
-        record.line(&format!("client sends {id} to {node}, {path}"));
         let mut stream = match connection.take() {
             Some(stream) => stream,
             None => match TcpStream::connect(node).await {
@@ -203,7 +228,16 @@
                 }
             },
         };
-        let bytes = request(path, &id, DEADLINE_MS, "an order");
+        let (prompt, output) = if count % OVERSIZED_PERIOD == OVERSIZED_PERIOD - 1 {
+            OVERSIZED_TOKENS
+        } else {
+            TOKENS
+        };
+        let headers = format!("Model: m\r\nToken-Counts: {prompt},{output}\r\n");
+        let bytes = request(path, &id, DEADLINE_MS, &headers, "a prompt");
+        record.line(&format!(
+            "client sends {id} to {node}, {path}, {prompt} tokens"
+        ));
         let limit = Duration::from_millis(DEADLINE_MS + 1_000);
         let status = match timeout(limit, call(&mut stream, &bytes)).await {
             Ok(Ok((head, _))) => {
@@ -238,7 +272,6 @@
             runs: runs.clone(),
             running: Cell::default(),
             is_disturbed: Cell::default(),
-            arrived: Cell::default(),
             answered: Cell::default(),
             repeats_due: Cell::default(),
         });
@@ -246,12 +279,20 @@
         workers.push(worker);
     }
     let route = |name: &str, prefix: &str, max_attempts: u32| {
-        json!({"name": name, "host": crate::system::HOST, "prefix": prefix, "type": "non_idempotent",
-            "timeout_ms": 4000, "slo_ms": 300, "priority": 2, "backend": SERVICE,
-            "max_attempts": max_attempts, "anonymous": false})
+        json!({"name": name, "host": crate::system::HOST, "prefix": prefix, "type": "stream", "timeout_ms": 4000,
+            "slo_ms": 1000, "priority": 1, "backend": SERVICE, "max_attempts": max_attempts, "anonymous": false,
+            "session_affinity": true, "resumable": false, "gap_target_ms": 250})
     };
+    let engine = json!({"batch_slots": SLOTS, "kv_capacity": MEMORY_TOKENS, "stride": 4, "models": [{"name": "m"}]});
     let routes = [route("r-once", "/once/", 1), route("r-other", "/other/", 2)];
-    let system = System::start(program, record, NODES, &config(SERVICE, &routes), entries).await?;
+    let system = System::start(
+        program,
+        record,
+        NODES,
+        &config(SERVICE, &engine, &routes),
+        entries,
+    )
+    .await?;
     let answers: Answers = Rc::new(RefCell::default());
     let until = Instant::now() + (CALM + TROUBLE) * TROUBLES + SETTLE;
     let clients: Vec<_> = (0..CLIENTS)
@@ -281,7 +322,7 @@
     }
 }
 
-/// Checks the rules TWICE and REFUSED; all requests are non-idempotent.
+/// Checks the rules TWICE and REFUSED. No stream may be resumed, so that all count as non-idempotent.
 fn judge(record: &Record, runs: &Runs, answers: &BTreeMap<String, u16>) -> Verdict {
     let twice: Vec<_> = runs
         .by_request
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -167,14 +167,15 @@
     listeners.iter().map(TcpListener::local_addr).collect()
 }
 
-/// A configuration of one service and these routes.
-pub fn config(service: &str, routes: &[Value]) -> Value {
+/// A configuration of one service, with an engine if `engine` is an object, and these routes.
+pub fn config(service: &str, engine: &Value, routes: &[Value]) -> Value {
     json!({"version": 7, "routes": routes,
-        "services": [{"name": service, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false}],
+        "services": [{"name": service, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false,
+            "engine": engine}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4_194_304, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000},
         "tenants": [{"name": "hule930", "api_keys": [KEY], "priority": 1, "unit": "tokens",
-            "plain_tokens": 200, "rate_per_s": 10_000_000, "burst": 10_000_000}]})
+            "plain_tokens": 200, "rate_per_s": 100_000_000, "burst": 100_000_000}]})
 }
 
 /// A counter that several tasks share.
