--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,7 +12,14 @@
 use {
     record::Record,
     std::{path::PathBuf, process::ExitCode, time::Duration},
-    tokio::{task::LocalSet, time::timeout},
+    tokio::{
+        signal::{
+            ctrl_c,
+            unix::{SignalKind, signal},
+        },
+        task::LocalSet,
+        time::timeout,
+    },
 };
 
 /// Longest time for a scenario. The nodes are killed when it ends.
@@ -59,6 +66,12 @@
                 other => Err(format!("unknown case {other}").into()),
             }
         };
-        timeout(TIME_LIMIT, scenario).await?
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            outcome = timeout(TIME_LIMIT, scenario) => outcome?,
+            // The nodes are killed when the scenario is dropped.
+            _ = terminate.recv() => Err("stopped by a signal".into()),
+            _ = ctrl_c() => Err("stopped by a signal".into()),
+        }
     })
 }
--- a/review/standins/src/stale_rejection.rs
+++ b/review/standins/src/stale_rejection.rs
@@ -55,7 +55,7 @@
 /// Time before the first disruption and between two, the length of each, their number, and the time after the last one.
 const CALM: Duration = Duration::from_secs(3);
 const TROUBLE: Duration = Duration::from_secs(5);
-const TROUBLES: u32 = 4;
+const TROUBLES: u32 = 7;
 const SETTLE: Duration = Duration::from_secs(2);
 
 /// Workers that are disturbed: 0.6 of all, rounded down.
