Claim an answer for the call that waits before anything it states is used

A worker sent its rejection of request A a second time where the answer to request B was expected on the same connection.

Cause: Job::belongs_to_request accepted every answer with Not-Executed, whatever its Request-Id. Evidence: the record of the case shows B running at the worker whose copy names A; late copies of other answers led to 502 and never to a second run, which rules out that the HTTP library joins answers to wrong requests.

The same class on related paths, each read before it was known whose answer it is: load, notices, health checks (copies of the answer before, answers of another upstream at the address), the call that stops a run (a foreign 404 let a second engine begin it), 421 without an id (the reverse: a true rejection was answered 502), and requests with an empty id.

Nothing can be read from an UnclaimedAnswer. A named answer belongs to its request; an unnamed one is accepted as a rejection, or for a call of the node, if it is the first such one of its connection, which is closed after it. So real rejections without an id stay "not run", and a copy of one meets no request.

--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -162,18 +162,22 @@
         headers.insert(header::HOST, host);
     }
     let allowed = job.allowed_data_centres.as_deref();
-    let (response, connection) = node
+    let answered = node
         .send_upstream(&source.address, request, allowed)
         .await?;
-    let (head, body) = response.into_parts();
-    let body = match body.collect().await {
+    let mut answer = match answered.claim_for_call(node) {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::warn!(request:% = job.facts.request_id, upstream:% = source.upstream, error:%; "the answer to an order to stop a run is ignored");
+            return Ok(RunStop::Unclear);
+        }
+    };
+    let body = match (&mut answer.body).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             log::debug!(error:%; "the answer of an upstream that stops a run broke off");
             Bytes::new()
         }
     };
-    let facts = node.dialect.read_answer(head.status, &head.headers);
-    node.connections.keep(connection, facts.keep_alive);
-    Ok(node.dialect.read_run_stop(head.status, &body))
+    Ok(node.dialect.read_run_stop(answer.head.status, &body))
 }
--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -153,14 +153,12 @@
     /// Reads the head of an upstream's answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
 
-    /// Whether the head of an answer from an upstream's health path states that this upstream, and not another one at
-    /// its address, accepts requests.
-    fn is_taking_requests(
-        &self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        upstream: &UpstreamId,
-    ) -> bool;
+    /// Whether the head of an answer from an upstream's health path states that this upstream gave it, and not another one
+    /// at its address.
+    fn is_from_upstream(&self, headers: &HeaderMap, upstream: &UpstreamId) -> bool;
+
+    /// Whether the status of an answer from an upstream's health path states that it accepts requests.
+    fn is_taking_requests(&self, status: StatusCode) -> bool;
 
     /// Completes the headers of a reply that the node generates itself with the request id and the time after which the
     /// caller may retry. `request_id` is empty if it is not known; without `retry_after`, no time is stated.
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -10,14 +10,15 @@
         answer::{AnswerBody, end_to_end_headers},
         attempts::Attempts,
         continuation::{CopyName, ResumePoint},
-        dialect::{AnswerFacts, RequestFacts, UpstreamFacts},
+        dialect::{RequestFacts, UpstreamFacts},
         held_bytes::Hold,
         limits::{LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS},
         node::Node,
         relay::{Relay, buffer_answer},
         slots::{RunStats, Slot},
         stop::OpenRequest,
-        upstream_connections::{OpenConnection, SendError},
+        upstream_answer::{ForeignAnswer, UpstreamAnswer},
+        upstream_connections::SendError,
         upstream_health::confirm_upstream,
     },
     bytes::Bytes,
@@ -27,7 +28,6 @@
     },
     http::{HeaderMap, Method, Request, Response, Uri, header},
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::{
         task::spawn_local,
@@ -265,8 +265,8 @@
         let sent_at = Instant::now();
         let allowed = self.allowed_data_centres.as_deref();
         let sending = self.node.send_upstream(&address, request, allowed);
-        let (response, connection) = match timeout(time_limit, sending).await {
-            Ok(Ok(sent)) => sent,
+        let answered = match timeout(time_limit, sending).await {
+            Ok(Ok(answered)) => answered,
             Ok(Err(SendError::NotSent(error))) => {
                 log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, error:%; "could not connect to the upstream");
                 slot.end(RunOutcome::Unreachable, RunStats::default());
@@ -295,80 +295,69 @@
                 return DispatchOutcome::Unknown("timeout");
             }
         };
-        if let Some(forwarder) = connection.forwarder() {
+        let answer = match answered.claim_for_request(&self.node, &self.facts.request_id) {
+            Ok(answer) => answer,
+            Err(ForeignAnswer(other)) => {
+                log::warn!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, other; "received the answer to another request");
+                slot.end(RunOutcome::Broken, RunStats::default());
+                return DispatchOutcome::Unknown("foreign_answer");
+            }
+        };
+        if let Some(forwarder) = answer.connection().forwarder() {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, forwarder:% = forwarder.node; "upstream was reached through another node");
         }
-        let facts = self
-            .node
-            .dialect
-            .read_answer(response.status(), response.headers());
-        if self.belongs_to_request(&facts) && !facts.is_misdirected {
+        // Another upstream at the address says nothing about the one of the slot.
+        if !answer.facts.is_misdirected {
             let request_id = &self.facts.request_id;
-            slot.observe_notices(request_id, &facts, sent_at.elapsed());
-        }
-        if let Some((running, waiting)) = facts.load
-            && waiting > 0
-        {
-            slot.report_load(running, waiting);
+            slot.observe_notices(request_id, &answer.facts, sent_at.elapsed());
+            if let Some((running, waiting)) = answer.facts.load
+                && waiting > 0
+            {
+                slot.report_load(running, waiting);
+            }
         }
-        self.interpret_answer(slot, response, connection, facts)
-            .await
-    }
-
-    /// Whether an answer belongs to this request: it carries the request's id, or states that the upstream did not run
-    /// the request.
-    fn belongs_to_request(&self, facts: &AnswerFacts) -> bool {
-        facts.request_id == self.facts.request_id || facts.is_not_run
+        self.interpret_answer(slot, answer).await
     }
 
     /// Decides by the head of an answer whether the request ran, and how the answer is passed on.
     async fn interpret_answer(
         self: Rc<Self>,
         slot: Slot,
-        response: Response<Incoming>,
-        connection: OpenConnection,
-        facts: AnswerFacts,
+        answer: UpstreamAnswer,
     ) -> DispatchOutcome {
-        if !self.belongs_to_request(&facts) {
-            log::warn!(request:% = self.facts.request_id, other:% = facts.request_id; "received the answer to another request");
-            slot.end(RunOutcome::Broken, RunStats::default());
-            return DispatchOutcome::Unknown("foreign_answer");
-        }
+        let (facts, status) = (&answer.facts, answer.head.status);
         if facts.is_misdirected || facts.is_not_run {
             let outcome = if facts.is_misdirected {
                 RunOutcome::Misdirected
             } else {
                 RunOutcome::Rejected
             };
-            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, outcome:? = outcome; "upstream did not run the request");
+            let is_named = !facts.request_id.is_empty();
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, outcome:? = outcome, is_named; "upstream did not run the request");
+            let kind = if is_named { "named" } else { "unnamed" };
+            self.node.metrics.count("rejections_total", kind);
             slot.end(outcome, RunStats::default());
-            self.drain_answer(response, connection, &facts);
+            self.drain_answer(answer);
             return DispatchOutcome::NotRun("rejected");
         }
-        if response.status().is_success() && !facts.is_signed {
+        if status.is_success() && !facts.is_signed {
             slot.end(RunOutcome::Failed, RunStats::default());
             return DispatchOutcome::Unknown("unsigned_answer");
         }
         let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
-        if is_stream && response.status().is_success() {
-            let relay = Relay::new(slot, response, connection, facts.keep_alive);
-            return DispatchOutcome::Streaming(Box::new(relay));
+        if is_stream && status.is_success() {
+            return DispatchOutcome::Streaming(Box::new(Relay { slot, answer }));
         }
-        buffer_answer(&self, slot, response, connection, &facts).await
+        buffer_answer(&self, slot, answer).await
     }
 
     /// Reads and discards the body of an answer in the background, so that its connection can be used again.
-    fn drain_answer(
-        &self,
-        response: Response<Incoming>,
-        connection: OpenConnection,
-        facts: &AnswerFacts,
-    ) {
-        let (node, keep_alive) = (self.node.clone(), facts.keep_alive);
+    fn drain_answer(&self, mut answer: UpstreamAnswer) {
+        let node = self.node.clone();
         let time_limit = self.time_left();
         spawn_local(async move {
-            if let Ok(Ok(_)) = timeout(time_limit, response.into_body().collect()).await {
-                node.connections.keep(connection, keep_alive);
+            if let Ok(Ok(_)) = timeout(time_limit, (&mut answer.body).collect()).await {
+                answer.keep_connection(&node);
             }
         });
     }
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -47,6 +47,7 @@
 mod stream_versions;
 mod suspicion;
 mod tunnels;
+mod upstream_answer;
 mod upstream_connections;
 mod upstream_dialer;
 mod upstream_health;
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -12,17 +12,15 @@
         burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
         caller_stream::CallerStream,
         continuation::{ResumePoint, continue_from_copy},
-        dialect::AnswerFacts,
         event_stream::EventSplitter,
         job::{DispatchOutcome, Job, ms},
         limits::{LATE_ANSWER_MARGIN, MAX_PLAIN_ANSWER_BYTES, STREAM_BUFFER_CHUNKS},
         slots::{RunStats, Slot},
-        upstream_connections::OpenConnection,
+        upstream_answer::UpstreamAnswer,
     },
     dragonflystep_dispatch::{RouteKind, RunOutcome, SOUND_EVENTS},
     http::{Response, StatusCode},
     http_body_util::{BodyExt, Limited},
-    hyper::body::Incoming,
     std::{rc::Rc, time::Duration},
     tokio::{
         sync::mpsc,
@@ -36,18 +34,16 @@
 pub(crate) async fn buffer_answer(
     job: &Rc<Job>,
     slot: Slot,
-    response: Response<Incoming>,
-    connection: OpenConnection,
-    facts: &AnswerFacts,
+    mut answer: UpstreamAnswer,
 ) -> DispatchOutcome {
-    let (head, body) = response.into_parts();
-    let framing = BodyFraming::of(&head.headers);
+    let framing = BodyFraming::of(&answer.head.headers);
     job.node
         .metrics
         .count("answer_bodies_total", framing.name());
     let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
     let reading = async {
-        let body = Limited::new(body, MAX_PLAIN_ANSWER_BYTES).collect().await?;
+        let body = Limited::new(&mut answer.body, MAX_PLAIN_ANSWER_BYTES);
+        let body = body.collect().await?;
         Ok::<_, BoxError>(job.node.held_bytes.hold_next(body.to_bytes()).await)
     };
     let body = match timeout(time_limit, reading).await {
@@ -63,23 +59,24 @@
             return DispatchOutcome::Unknown("timeout");
         }
     };
-    job.node.connections.keep(connection, facts.keep_alive);
-    let outcome = if head.status == StatusCode::GATEWAY_TIMEOUT {
+    let (status, headers) = (answer.head.status, end_to_end_headers(&answer.head.headers));
+    answer.keep_connection(&job.node);
+    let outcome = if status == StatusCode::GATEWAY_TIMEOUT {
         // The time left for the request was too short, which does not count as a failure of the upstream.
         RunOutcome::Cancelled
-    } else if head.status.is_server_error() {
+    } else if status.is_server_error() {
         RunOutcome::Failed
     } else {
         RunOutcome::Completed
     };
     slot.end(outcome, RunStats::default());
-    if implies_not_run(head.status) {
+    if implies_not_run(status) {
         // To the caller, this status would say that the request did not run. The upstream did not state that.
         return DispatchOutcome::Unknown("upstream_failed");
     }
     let mut answer = Response::new(AnswerBody::Buffered(body));
-    *answer.status_mut() = head.status;
-    *answer.headers_mut() = end_to_end_headers(&head.headers);
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
     DispatchOutcome::Buffered(answer)
 }
 
@@ -100,10 +97,7 @@
 /// An upstream's stream that is being relayed to the caller.
 pub(crate) struct Relay {
     pub(crate) slot: Slot,
-    response: Response<Incoming>,
-    connection: OpenConnection,
-    /// How long the upstream keeps the connection open once it is idle, if it said so.
-    keep_alive: Option<Duration>,
+    pub(crate) answer: UpstreamAnswer,
 }
 
 /// Why relaying the stream of one upstream ended.
@@ -115,26 +109,13 @@
 }
 
 impl Relay {
-    pub(crate) fn new(
-        slot: Slot,
-        response: Response<Incoming>,
-        connection: OpenConnection,
-        keep_alive: Option<Duration>,
-    ) -> Self {
-        Self {
-            slot,
-            response,
-            connection,
-            keep_alive,
-        }
-    }
-
     /// Starts to relay the stream and returns the answer, whose body receives the events.
     pub(crate) fn start(self, job: Rc<Job>, attempts: Attempts) -> Response<AnswerBody> {
         let (sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
+        let head = &self.answer.head;
         let mut answer = Response::new(AnswerBody::Streamed(chunks));
-        *answer.status_mut() = self.response.status();
-        *answer.headers_mut() = end_to_end_headers(self.response.headers());
+        *answer.status_mut() = head.status;
+        *answer.headers_mut() = end_to_end_headers(&head.headers);
         let caller = CallerStream::new(sender);
         spawn_local(relay_stream(self, job, attempts, caller));
         answer
@@ -143,23 +124,22 @@
     /// Relays the events of this upstream until its stream ends or breaks off, the caller disconnects or the deadline
     /// has passed.
     async fn forward_events(
-        self,
+        mut self,
         job: &Job,
         attempts: &mut Attempts,
         caller: &mut CallerStream,
     ) -> RelayEnd {
-        let framing = BodyFraming::of(self.response.headers());
+        let framing = BodyFraming::of(&self.answer.head.headers);
         job.node
             .metrics
             .count("answer_bodies_total", framing.name());
         let held_bytes = &job.node.held_bytes;
-        let mut body = self.response.into_body();
         let mut splitter = EventSplitter::default();
         let mut stats = RunStats::default();
         let mut last_event_at = Duration::ZERO;
         loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
+                frame = self.answer.body.frame() => frame,
                 () = caller.chunks.closed() => {
                     self.slot.end(RunOutcome::Cancelled, stats);
                     return RelayEnd::CallerDisconnected;
@@ -171,7 +151,7 @@
             };
             match frame {
                 Some(Ok(frame)) => {
-                    if self.connection.is_direct() {
+                    if self.answer.connection().is_direct() {
                         let now = job.node.owner.now();
                         job.node.upstream_paths.borrow_mut().record_heard(now);
                     }
@@ -237,7 +217,7 @@
                         self.slot.end(RunOutcome::Cancelled, stats);
                         return RelayEnd::CallerDisconnected;
                     }
-                    job.node.connections.keep(self.connection, self.keep_alive);
+                    self.answer.keep_connection(&job.node);
                     caller.longest_pause = caller.longest_pause.max(stats.longest_pause);
                     self.slot.end(RunOutcome::Completed, stats);
                     return RelayEnd::Complete;
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -4,16 +4,14 @@
     crate::{
         limits::{DEFAULT_KEEP_ALIVE, MAX_IDLE_CONNECTIONS, USABLE_KEEP_ALIVE_SHARE},
         node::Node,
+        upstream_answer::UnclaimedAnswer,
         upstream_dialer::{DialError, Dialed, Forwarder, dial},
     },
     bytes::Bytes,
     dragonflystep_dispatch::{DataCentreName, MonotonicTime},
-    http::{Request, Response},
+    http::Request,
     http_body_util::Full,
-    hyper::{
-        body::Incoming,
-        client::conn::http1::{Builder, SendRequest},
-    },
+    hyper::client::conn::http1::{Builder, SendRequest},
     hyper_util::rt::TokioIo,
     std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::Instant},
@@ -63,6 +61,8 @@
     forwarder: Option<Forwarder>,
     /// When it was opened, until it has carried an answer.
     unproved_since: Option<MonotonicTime>,
+    /// Whether it has carried an answer that names no request.
+    has_unnamed_answer: bool,
 }
 
 impl OpenConnection {
@@ -71,6 +71,11 @@
         self.forwarder.is_none()
     }
 
+    /// Records that an answer names no request. Returns whether it is the first such answer of the connection.
+    pub(crate) fn note_unnamed_answer(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_unnamed_answer, true)
+    }
+
     /// The node through which the upstream is reached; none if it is reached directly.
     pub(crate) fn forwarder(&self) -> Option<&Forwarder> {
         self.forwarder.as_ref()
@@ -97,9 +102,10 @@
 
 impl UpstreamConnections {
     /// Returns a connection to the pool after its answer was read whole. It stays usable for a part of the idle time
-    /// that the upstream permits, or of a default.
+    /// that the upstream permits, or of a default. It is closed instead if its answer named no request: a second copy of
+    /// that answer could not be told from the next one.
     pub(crate) fn keep(&self, connection: OpenConnection, keep_alive: Option<Duration>) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.has_unnamed_answer {
             return;
         }
         let idle_time = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
@@ -170,7 +176,7 @@
         address: &str,
         mut request: Request<Full<Bytes>>,
         allowed: Option<&[DataCentreName]>,
-    ) -> Result<(Response<Incoming>, OpenConnection), SendError> {
+    ) -> Result<UnclaimedAnswer, SendError> {
         let may_use = |connection: &OpenConnection| match connection.forwarder() {
             None => true,
             Some(forwarder) => self.may_use_forwarder(forwarder, allowed),
@@ -205,7 +211,7 @@
         address: &str,
         dialed: Dialed,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, OpenConnection), TrySendError> {
+    ) -> Result<UnclaimedAnswer, TrySendError> {
         match open_http(address, dialed).await {
             Ok(connection) => self.try_send(connection, request).await,
             Err(error) => {
@@ -229,7 +235,7 @@
         &self,
         mut connection: OpenConnection,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, OpenConnection), TrySendError> {
+    ) -> Result<UnclaimedAnswer, TrySendError> {
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 if connection.is_direct() {
@@ -238,7 +244,7 @@
                         connection.unproved_since.take(),
                     );
                 }
-                Ok((response, connection))
+                Ok(UnclaimedAnswer::new(response, connection))
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(unsent) => TrySendError::Unsent(Box::new(unsent)),
@@ -279,5 +285,6 @@
         sender,
         forwarder: dialed.forwarder,
         unproved_since: Some(dialed.opened_at),
+        has_unnamed_answer: false,
     })
 }
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -9,15 +9,15 @@
     crate::{
         limits::{UPSTREAM_HEALTH_LIFETIME, UPSTREAM_HEALTH_TIMEOUT},
         node::Node,
-        upstream_connections::{OpenConnection, SendError},
+        upstream_answer::{ForeignAnswer, UnclaimedAnswer},
+        upstream_connections::SendError,
         upstream_dialer::Dialed,
         upstream_notices::ObservedAnswer,
     },
     bytes::Bytes,
     dragonflystep_dispatch::{Grant, MonotonicTime, ServiceName, UpstreamId},
-    http::{HeaderValue, Request, Response, header, uri::InvalidUri},
+    http::{HeaderValue, Request, header, uri::InvalidUri},
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
     std::{cell::RefCell, collections::HashMap, rc::Rc},
     tokio::time::{Instant, timeout},
 };
@@ -31,6 +31,9 @@
     /// The upstream can't be reached, or the connection broke.
     #[error(transparent)]
     Send(#[from] SendError),
+    /// The answer may belong to an earlier call of its connection.
+    #[error(transparent)]
+    Foreign(#[from] ForeignAnswer),
     /// The connection broke before the answer was complete.
     #[error("the answer broke off: {0}")]
     Body(#[from] hyper::Error),
@@ -150,7 +153,7 @@
         self.finish(node, sent_at, answered).await
     }
 
-    /// Sends the check on a new connection, which is kept for requests, and returns whether the upstream takes requests.
+    /// Sends the check on a new connection, and returns whether the upstream takes requests.
     pub(crate) async fn send_on_new(
         &self,
         node: &Node,
@@ -177,21 +180,22 @@
         &self,
         node: &Node,
         sent_at: Instant,
-        (response, connection): (Response<Incoming>, OpenConnection),
+        answered: UnclaimedAnswer,
     ) -> Result<bool, HealthError> {
-        let (head, body) = response.into_parts();
-        body.collect().await?;
-        let facts = node.dialect.read_answer(head.status, &head.headers);
+        let mut answer = answered.claim_for_call(node)?;
+        (&mut answer.body).collect().await?;
+        let dialect = &node.dialect;
+        if !dialect.is_from_upstream(&answer.head.headers, &self.upstream) {
+            log::info!(upstream:% = self.upstream, address:% = self.address; "the answer to a health check does not name the upstream");
+            return Ok(false);
+        }
         node.observe_notices(&ObservedAnswer {
             service: &self.service,
             upstream: &self.upstream,
             request_id: "",
-            facts: &facts,
+            facts: &answer.facts,
             sent_ago: sent_at.elapsed(),
         });
-        node.connections.keep(connection, facts.keep_alive);
-        Ok(node
-            .dialect
-            .is_taking_requests(head.status, &head.headers, &self.upstream))
+        Ok(dialect.is_taking_requests(answer.head.status))
     }
 }
