Cut connections of upstreams that send bytes without end

Limits lay at single places, not at the connection: interim heads and chunk sizes were read until the deadline (79 and 35 MB taken in 1.2 s), the body of a rejection was read and dropped without a limit (71 MB), and an event without end was passed on past its deadline (not ended after 10 s where 1.2 s were allowed), because the time limit began anew with each frame.

Reads of a connection now fail once 256 KB were read of which nothing reached the reader of the answer; bodies that are only read to keep a connection, and answers to the node's own calls, have a limit of 64 KB; an event has the limit of a plain answer; a stream ends at its deadline whatever still comes. Ruled out as faults: status lines, headers, chunk extensions, trailers and idle connections, which the library cuts.

--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -17,7 +17,7 @@
     bytes::Bytes,
     dragonflystep_dispatch::{CopyTarget, Grant},
     http::{HeaderValue, Method, Request, Uri, header},
-    http_body_util::{BodyExt, Full},
+    http_body_util::Full,
     std::{io, rc::Rc},
     tokio::time::timeout,
 };
@@ -172,10 +172,10 @@
             return Ok(RunStop::Unclear);
         }
     };
-    let body = match (&mut answer.body).collect().await {
-        Ok(body) => body.to_bytes(),
+    let body = match answer.read_short_body().await {
+        Ok(body) => body,
         Err(error) => {
-            log::debug!(error:%; "the answer of an upstream that stops a run broke off");
+            log::debug!(error:%; "the answer of an upstream that stops a run could not be read");
             Bytes::new()
         }
     };
--- a/crates/dragonflystep_edge/src/event_stream.rs
+++ b/crates/dragonflystep_edge/src/event_stream.rs
@@ -22,8 +22,8 @@
     buffer: BytesMut,
     /// Bytes at the start of the buffer in which no event can end.
     scanned: usize,
-    /// Whether a chunk of the event at the start of the buffer was returned already.
-    is_split: bool,
+    /// Bytes of the event at the start of the buffer that were returned already, in chunks.
+    returned_bytes: usize,
 }
 
 impl EventSplitter {
@@ -46,8 +46,11 @@
             .buffer
             .split_to(end.unwrap_or(self.buffer.len()))
             .freeze();
-        let id = event_id(&bytes).filter(|_| !self.is_split);
-        self.is_split = end.is_none();
+        let id = event_id(&bytes).filter(|_| !self.is_split());
+        self.returned_bytes = match end {
+            Some(_) => 0,
+            None => self.returned_bytes + bytes.len(),
+        };
         Some(StreamEvent {
             bytes,
             id,
@@ -62,13 +65,23 @@
             let is_comment = text.starts_with(b":") && line.ends_with(b"\n");
             !text.is_empty() && !is_comment
         };
-        self.is_split
+        self.is_split()
             || self
                 .buffer
                 .split_inclusive(|byte| *byte == b'\n')
                 .any(has_field)
     }
 
+    /// Length of the current event so far, with what follows it in the buffer.
+    pub(crate) fn event_bytes(&self) -> usize {
+        self.returned_bytes + self.buffer.len()
+    }
+
+    /// Whether a chunk of the event at the start of the buffer was returned already.
+    fn is_split(&self) -> bool {
+        self.returned_bytes > 0
+    }
+
     /// Removes and returns what is buffered after the last event.
     pub(crate) fn take_remainder(&mut self) -> Bytes {
         self.scanned = 0;
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -27,7 +27,7 @@
         ServiceName, SlotRequest, Tier,
     },
     http::{HeaderMap, Method, Request, Response, Uri, header},
-    http_body_util::{BodyExt, Full},
+    http_body_util::Full,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::{
         task::spawn_local,
@@ -351,12 +351,12 @@
         buffer_answer(&self, slot, answer).await
     }
 
-    /// Reads and discards the body of an answer in the background, so that its connection can be used again.
+    /// Reads and discards a short body of an answer in the background, so that its connection can be used again.
     fn drain_answer(&self, mut answer: UpstreamAnswer) {
         let node = self.node.clone();
         let time_limit = self.time_left();
         spawn_local(async move {
-            if let Ok(Ok(_)) = timeout(time_limit, (&mut answer.body).collect()).await {
+            if let Ok(Ok(_)) = timeout(time_limit, answer.read_short_body()).await {
                 answer.keep_connection(&node);
             }
         });
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod local_reply;
 mod logs;
 mod members;
+mod metered_stream;
 mod metrics;
 mod node;
 mod owner;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -150,8 +150,21 @@
 /// Time limit of a request whose caller states none.
 pub(crate) const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(30);
 
-/// Maximum length of the body of a plain answer, in bytes. A longer body is treated as a broken answer.
-pub(crate) const MAX_PLAIN_ANSWER_BYTES: usize = 16 << 20;
+/// Maximum length of the body of a plain answer, and of one event of a stream, in bytes. A longer one is treated as a broken
+/// answer.
+pub(crate) const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Maximum length of the head of an upstream's answer, in bytes; several times that of the heads of requests. It is also the
+/// size to which the read buffer of a connection may grow.
+pub(crate) const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
+
+/// Maximum number of bytes that a connection to an upstream delivers while nothing of an answer reaches its reader. Larger than
+/// a head and the bytes of the body that are read along with it.
+pub(crate) const MAX_UNDELIVERED_BYTES: usize = 4 * MAX_ANSWER_HEAD_BYTES;
+
+/// Maximum length of a body that is read only so that its connection can be used again, and of an answer to a call of the node
+/// itself, in bytes. A new connection costs less than a longer body.
+pub(crate) const MAX_SHORT_ANSWER_BYTES: usize = 64 << 10;
 
 /// Interval at which an owner logs a summary of its state; about the usual duration of a stream.
 pub(crate) const SUMMARY_LOG_INTERVAL: Duration = Duration::from_secs(2);
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -13,19 +13,20 @@
         caller_stream::CallerStream,
         continuation::{ResumePoint, continue_from_copy},
         event_stream::EventSplitter,
+        held_bytes::{HeldBytes, HeldChunk},
         job::{DispatchOutcome, Job, ms},
-        limits::{LATE_ANSWER_MARGIN, MAX_PLAIN_ANSWER_BYTES, STREAM_BUFFER_CHUNKS},
+        limits::{LATE_ANSWER_MARGIN, MAX_ANSWER_BYTES, STREAM_BUFFER_CHUNKS},
         slots::{RunStats, Slot},
         upstream_answer::UpstreamAnswer,
     },
+    bytes::BytesMut,
     dragonflystep_dispatch::{RouteKind, RunOutcome, SOUND_EVENTS},
     http::{Response, StatusCode},
-    http_body_util::{BodyExt, Limited},
     std::{rc::Rc, time::Duration},
     tokio::{
         sync::mpsc,
         task::spawn_local,
-        time::{Instant, sleep, timeout},
+        time::{Instant, sleep_until, timeout, timeout_at},
     },
 };
 
@@ -41,11 +42,7 @@
         .metrics
         .count("answer_bodies_total", framing.name());
     let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
-    let reading = async {
-        let body = Limited::new(&mut answer.body, MAX_PLAIN_ANSWER_BYTES);
-        let body = body.collect().await?;
-        Ok::<_, BoxError>(job.node.held_bytes.hold_next(body.to_bytes()).await)
-    };
+    let reading = collect_answer(&job.node.held_bytes, &mut answer);
     let body = match timeout(time_limit, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
@@ -80,8 +77,32 @@
     DispatchOutcome::Buffered(answer)
 }
 
-/// Error of a body that is read with a limit.
-type BoxError = Box<dyn std::error::Error + Send + Sync>;
+/// Why an answer could not be read whole.
+#[derive(Debug, thiserror::Error)]
+enum CollectError {
+    #[error("the answer broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    #[error("the answer is longer than {MAX_ANSWER_BYTES} bytes")]
+    TooLong,
+}
+
+/// Reads the whole body of an answer.
+async fn collect_answer(
+    memory: &HeldBytes,
+    answer: &mut UpstreamAnswer,
+) -> Result<HeldChunk, CollectError> {
+    let mut body = BytesMut::new();
+    while let Some(frame) = answer.next_frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if body.len() + data.len() > MAX_ANSWER_BYTES {
+            return Err(CollectError::TooLong);
+        }
+        body.extend_from_slice(&data);
+    }
+    Ok(memory.hold_next(body.freeze()).await)
+}
 
 /// Whether callers take a status to mean that the request did not run.
 fn implies_not_run(status: StatusCode) -> bool {
@@ -137,14 +158,15 @@
         let mut splitter = EventSplitter::default();
         let mut stats = RunStats::default();
         let mut last_event_at = Duration::ZERO;
+        let ends_at = job.deadline + LATE_ANSWER_MARGIN;
         loop {
             let frame = tokio::select! {
-                frame = self.answer.body.frame() => frame,
+                frame = self.answer.next_frame() => frame,
                 () = caller.chunks.closed() => {
                     self.slot.end(RunOutcome::Cancelled, stats);
                     return RelayEnd::CallerDisconnected;
                 }
-                () = sleep(job.time_left() + LATE_ANSWER_MARGIN) => {
+                () = sleep_until(ends_at) => {
                     self.slot.end(RunOutcome::Cancelled, stats);
                     return RelayEnd::TimedOut;
                 }
@@ -159,6 +181,13 @@
                         continue;
                     };
                     splitter.push(&data);
+                    if splitter.event_bytes() > MAX_ANSWER_BYTES {
+                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, content:% = job.content(), events = stats.events; "an event of a stream has no end");
+                        job.node.metrics.count("endless_answers_total", "event");
+                        job.count_broken_run(stats.events);
+                        self.slot.end(RunOutcome::Broken, stats);
+                        return RelayEnd::Broken;
+                    }
                     while let Some(event) = splitter.next_event() {
                         stats.events += u32::from(event.is_end);
                         if event.is_end && stats.events == SOUND_EVENTS {
@@ -183,9 +212,8 @@
                             attempts.stream_version = Some(self.slot.version());
                         }
                         // A caller that does not read holds memory for no longer than it may wait.
-                        let time_limit = job.time_left() + LATE_ANSWER_MARGIN;
                         let forwarding = caller.forward(held_bytes, event);
-                        let end = match timeout(time_limit, forwarding).await {
+                        let end = match timeout_at(ends_at, forwarding).await {
                             Ok(Ok(())) => continue,
                             Ok(Err(IncompleteAnswer)) => RelayEnd::CallerDisconnected,
                             Err(_) => RelayEnd::TimedOut,
--- a/crates/dragonflystep_edge/src/upstream_answer.rs
+++ b/crates/dragonflystep_edge/src/upstream_answer.rs
@@ -6,9 +6,14 @@
 //! lacked a name either, so that a connection is not used again after such an answer.
 
 use {
-    crate::{dialect::AnswerFacts, node::Node, upstream_connections::OpenConnection},
+    crate::{
+        dialect::AnswerFacts, limits::MAX_SHORT_ANSWER_BYTES, node::Node,
+        upstream_connections::OpenConnection,
+    },
+    bytes::{Bytes, BytesMut},
     http::{Response, response::Parts},
-    hyper::body::Incoming,
+    http_body_util::BodyExt,
+    hyper::body::{Frame, Incoming},
 };
 
 /// An answer that arrived on a connection. It may belong to another call than the one that waits there.
@@ -21,10 +26,21 @@
 pub(crate) struct UpstreamAnswer {
     pub(crate) head: Parts,
     pub(crate) facts: AnswerFacts,
-    pub(crate) body: Incoming,
+    body: Incoming,
     connection: OpenConnection,
 }
 
+/// Why the body of an answer could not be read whole.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum BodyError {
+    /// The connection broke, or the body is malformed.
+    #[error("the answer broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The body is longer than permitted.
+    #[error("the answer is longer than {0} bytes")]
+    TooLong(usize),
+}
+
 /// An answer that may belong to another call. Its connection is closed.
 #[derive(Debug, thiserror::Error)]
 #[error("received an answer that may belong to another call ({0:?})")]
@@ -90,6 +106,28 @@
         Err(ForeignAnswer(self.facts.request_id))
     }
 
+    /// The next part of the body: data or trailers. None at the end.
+    pub(crate) async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        let frame = self.body.frame().await;
+        self.connection.note_delivery();
+        frame
+    }
+
+    /// Reads a body of at most [`MAX_SHORT_ANSWER_BYTES`] whole.
+    pub(crate) async fn read_short_body(&mut self) -> Result<Bytes, BodyError> {
+        let mut body = BytesMut::new();
+        while let Some(frame) = self.next_frame().await {
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            if body.len() + data.len() > MAX_SHORT_ANSWER_BYTES {
+                return Err(BodyError::TooLong(MAX_SHORT_ANSWER_BYTES));
+            }
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
     /// The connection that the answer arrives on.
     pub(crate) fn connection(&self) -> &OpenConnection {
         &self.connection
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -2,7 +2,12 @@
 
 use {
     crate::{
-        limits::{DEFAULT_KEEP_ALIVE, MAX_IDLE_CONNECTIONS, USABLE_KEEP_ALIVE_SHARE},
+        limits::{
+            DEFAULT_KEEP_ALIVE, MAX_ANSWER_HEAD_BYTES, MAX_IDLE_CONNECTIONS,
+            USABLE_KEEP_ALIVE_SHARE,
+        },
+        metered_stream::{MeteredStream, UndeliveredBytes},
+        metrics::Metrics,
         node::Node,
         upstream_answer::UnclaimedAnswer,
         upstream_dialer::{DialError, Dialed, Forwarder, dial},
@@ -61,6 +66,7 @@
     forwarder: Option<Forwarder>,
     /// When it was opened, until it has carried an answer.
     unproved_since: Option<MonotonicTime>,
+    undelivered: UndeliveredBytes,
     /// Whether it has carried an answer that names no request.
     has_unnamed_answer: bool,
 }
@@ -71,6 +77,11 @@
         self.forwarder.is_none()
     }
 
+    /// Records that a part of an answer reached its reader.
+    pub(crate) fn note_delivery(&self) {
+        self.undelivered.reset();
+    }
+
     /// Records that an answer names no request. Returns whether it is the first such answer of the connection.
     pub(crate) fn note_unnamed_answer(&mut self) -> bool {
         !std::mem::replace(&mut self.has_unnamed_answer, true)
@@ -212,7 +223,7 @@
         dialed: Dialed,
         request: Request<Full<Bytes>>,
     ) -> Result<UnclaimedAnswer, TrySendError> {
-        match open_http(address, dialed).await {
+        match open_http(address, dialed, self.metrics.clone()).await {
             Ok(connection) => self.try_send(connection, request).await,
             Err(error) => {
                 log::debug!(address, error:%; "a new connection to an upstream broke");
@@ -223,7 +234,7 @@
 
     /// Adds a new connection to the pool.
     pub(crate) async fn keep_new_connection(&self, address: &str, dialed: Dialed) {
-        match open_http(address, dialed).await {
+        match open_http(address, dialed, self.metrics.clone()).await {
             Ok(connection) => self.connections.keep(connection, None),
             Err(error) => {
                 log::debug!(address, error:%; "a new connection to an upstream broke");
@@ -236,8 +247,10 @@
         mut connection: OpenConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<UnclaimedAnswer, TrySendError> {
+        connection.note_delivery();
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
+                connection.note_delivery();
                 if connection.is_direct() {
                     self.record_direct_answer(
                         &connection.address,
@@ -269,10 +282,17 @@
 }
 
 /// Sets up HTTP over a new connection.
-async fn open_http(address: &str, dialed: Dialed) -> io::Result<OpenConnection> {
+async fn open_http(
+    address: &str,
+    dialed: Dialed,
+    metrics: Rc<Metrics>,
+) -> io::Result<OpenConnection> {
+    let undelivered = UndeliveredBytes::default();
+    let stream = MeteredStream::new(dialed.stream, undelivered.clone(), metrics);
     let (sender, connection) = Builder::new()
         .title_case_headers(true)
-        .handshake(TokioIo::new(dialed.stream))
+        .max_buf_size(MAX_ANSWER_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     spawn_local(async move {
@@ -285,6 +305,7 @@
         sender,
         forwarder: dialed.forwarder,
         unproved_since: Some(dialed.opened_at),
+        undelivered,
         has_unnamed_answer: false,
     })
 }
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -9,7 +9,7 @@
     crate::{
         limits::{UPSTREAM_HEALTH_LIFETIME, UPSTREAM_HEALTH_TIMEOUT},
         node::Node,
-        upstream_answer::{ForeignAnswer, UnclaimedAnswer},
+        upstream_answer::{BodyError, ForeignAnswer, UnclaimedAnswer},
         upstream_connections::SendError,
         upstream_dialer::Dialed,
         upstream_notices::ObservedAnswer,
@@ -17,7 +17,7 @@
     bytes::Bytes,
     dragonflystep_dispatch::{Grant, MonotonicTime, ServiceName, UpstreamId},
     http::{HeaderValue, Request, header, uri::InvalidUri},
-    http_body_util::{BodyExt, Full},
+    http_body_util::Full,
     std::{cell::RefCell, collections::HashMap, rc::Rc},
     tokio::time::{Instant, timeout},
 };
@@ -34,9 +34,9 @@
     /// The answer may belong to an earlier call of its connection.
     #[error(transparent)]
     Foreign(#[from] ForeignAnswer),
-    /// The connection broke before the answer was complete.
-    #[error("the answer broke off: {0}")]
-    Body(#[from] hyper::Error),
+    /// The answer could not be read whole.
+    #[error(transparent)]
+    Body(#[from] BodyError),
 }
 
 /// The recent health answers of upstreams, each valid for [`UPSTREAM_HEALTH_LIFETIME`].
@@ -183,7 +183,7 @@
         answered: UnclaimedAnswer,
     ) -> Result<bool, HealthError> {
         let mut answer = answered.claim_for_call(node)?;
-        (&mut answer.body).collect().await?;
+        answer.read_short_body().await?;
         let dialect = &node.dialect;
         if !dialect.is_from_upstream(&answer.head.headers, &self.upstream) {
             log::info!(upstream:% = self.upstream, address:% = self.address; "the answer to a health check does not name the upstream");
