Count long answers against the node's memory while they are read

A plain answer was collected up to 16 MB and counted only once it was whole, so that some tens of bodies without end at one upstream exceeded a VM's memory: with 40 of them the test's process grew by 84 MB where the VM has 64.

Pieces now count against the memory for long answers when they are read; short answers have room of their own. If answers that are still being read hold most of the room and another needs more, the oldest is given up (502, it may have run). Tried and ruled out: giving up the largest, which was the one long answer that would have ended.

Test: platform/tests/endless_bodies.rs in a process of its own, slow and fast; failed before. Callers that do not read (slow_readers.rs) as before.

--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Platform`] trait. Names that are specific to a platform are known only to its [`Dialect`].
 
 mod answer;
+mod answer_buffer;
 mod attempts;
 mod body_framing;
 mod burn;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -125,9 +125,18 @@
 /// Share of that memory that the bodies of requests may use.
 pub(crate) const BODY_MEMORY_SHARE: f64 = 0.5;
 
-/// Share of that memory for the chunks of streams that wait behind others of their stream. The rest is for whole answers
-/// and for the next chunk of each stream.
-pub(crate) const QUEUED_CHUNK_MEMORY_SHARE: f64 = 0.25;
+/// Share of that memory for the chunks of streams that wait behind others of their stream.
+pub(crate) const QUEUED_CHUNK_MEMORY_SHARE: f64 = 0.2;
+
+/// Share of that memory for long answers. The rest is for short ones and for the next chunk of each stream.
+pub(crate) const LONG_ANSWER_MEMORY_SHARE: f64 = 0.2;
+
+/// Length up to which a whole answer is short, in bytes. Short answers need little memory, so that they do not wait for long
+/// ones.
+pub(crate) const SHORT_ANSWER_BYTES: usize = 64 << 10;
+
+/// Interval at which a long answer that waits for memory checks whether another one has to be given up.
+pub(crate) const ANSWER_ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Unit in which held memory is counted, in bytes. Shorter chunks count as one unit, which covers their overhead.
 pub(crate) const HELD_UNIT_BYTES: usize = 1 << 10;
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         answer::{AnswerBody, IncompleteAnswer, end_to_end_headers},
+        answer_buffer::{AnswerBuffer, BufferError},
         attempts::Attempts,
         body_framing::BodyFraming,
         burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
@@ -19,7 +20,6 @@
         slots::{RunStats, Slot},
         upstream_answer::UpstreamAnswer,
     },
-    bytes::BytesMut,
     dragonflystep_dispatch::{RouteKind, RunOutcome, SOUND_EVENTS},
     http::{Response, StatusCode},
     std::{rc::Rc, time::Duration},
@@ -45,6 +45,12 @@
     let reading = collect_answer(&job.node.held_bytes, &mut answer);
     let body = match timeout(time_limit, reading).await {
         Ok(Ok(body)) => body,
+        Ok(Err(CollectError::Buffer(BufferError::NoRoom))) => {
+            log::warn!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream; "an answer was given up; the memory for long answers is used up");
+            job.node.metrics.count("endless_answers_total", "no_room");
+            slot.end(RunOutcome::Cancelled, RunStats::default());
+            return DispatchOutcome::Unknown("memory_used_up");
+        }
         Ok(Err(error)) => {
             log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, content:% = job.content(), framing = framing.name(), error:%; "an answer was cut");
             job.count_broken_run(0);
@@ -82,8 +88,8 @@
 enum CollectError {
     #[error("the answer broke off: {0}")]
     Broken(#[from] hyper::Error),
-    #[error("the answer is longer than {MAX_ANSWER_BYTES} bytes")]
-    TooLong,
+    #[error(transparent)]
+    Buffer(#[from] BufferError),
 }
 
 /// Reads the whole body of an answer.
@@ -91,17 +97,19 @@
     memory: &HeldBytes,
     answer: &mut UpstreamAnswer,
 ) -> Result<HeldChunk, CollectError> {
-    let mut body = BytesMut::new();
-    while let Some(frame) = answer.next_frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
+    let mut buffer = AnswerBuffer::new(memory);
+    loop {
+        let frame = tokio::select! {
+            frame = answer.next_frame() => frame,
+            error = buffer.given_up() => return Err(error.into()),
+        };
+        let Some(frame) = frame else {
+            return Ok(buffer.finish().await?);
         };
-        if body.len() + data.len() > MAX_ANSWER_BYTES {
-            return Err(CollectError::TooLong);
+        if let Ok(data) = frame?.into_data() {
+            buffer.push(&data).await?;
         }
-        body.extend_from_slice(&data);
     }
-    Ok(memory.hold_next(body.freeze()).await)
 }
 
 /// Whether callers take a status to mean that the request did not run.
