Wait for answers to be written before a stopping node ends

Cause: a request counts as open until its answer is handed to its connection; the connection writes on for as long as the caller takes to read, and nobody waited for it. What the kernel has taken is delivered, which is why short answers survived. Ruled out: resets (short answers would be cut too) and the grace period (long runs are waited for).

A stopping node now waits until no connection of a caller is open, within the grace period as before. The same class in a forwarder: a tunnel whose opener does not read counted as idle; it is idle once the opener has taken the upstream's last bytes.

--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -6,6 +6,7 @@
         connection_io::{CheckedConnection, ConnectionTimes},
         node::Node,
         request::serve_request,
+        stop::StopSignal,
     },
     bytes::Bytes,
     dragonflystep_dispatch::ClientLimits,
@@ -73,6 +74,8 @@
 /// Serves one connection until it ends. A head that takes too long closes it at once; an idle timeout or the stop of
 /// the node closes it after the answer in progress.
 async fn serve_connection(node: Rc<Node>, stream: Box<dyn NetworkStream>, kind: ListenerKind) {
+    let _open_connection =
+        (kind == ListenerKind::Ingress).then(|| StopSignal::open_connection(&node));
     let times = ConnectionTimes::new();
     let io = CheckedConnection::new(stream, times.clone());
     let service = service_fn(|request| {
--- a/crates/dragonflystep_edge/src/stop.rs
+++ b/crates/dragonflystep_edge/src/stop.rs
@@ -1,5 +1,5 @@
 //! Graceful shutdown: the node announces that it is leaving, serves callers that have not learned of it yet, waits
-//! until open requests have ended, and exits.
+//! until open requests have ended and their answers are written, and exits.
 
 use {
     crate::{
@@ -17,13 +17,15 @@
     },
 };
 
-/// Interval at which the open requests are checked during a stop.
+/// Interval at which the open requests and connections are checked during a stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Whether and since when the node is stopping, and how many requests are open.
+/// Whether and since when the node is stopping, and how many requests and connections of callers are open.
 pub(crate) struct StopSignal {
     since: Cell<Option<Instant>>,
     open_requests: Cell<usize>,
+    /// Connections of callers. An answer is written for as long as its caller takes to read it, after its request has ended.
+    open_connections: Cell<usize>,
     closing: watch::Sender<bool>,
 }
 
@@ -32,6 +34,7 @@
         Self {
             since: Cell::new(None),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             closing: watch::channel(false).0,
         }
     }
@@ -60,6 +63,18 @@
         open.set(open.get() + 1);
         OpenRequest(node.clone())
     }
+
+    /// Counts a caller's connection as open until the returned guard is dropped.
+    pub(crate) fn open_connection(node: &Rc<Node>) -> OpenConnectionGuard {
+        let open = &node.stop.open_connections;
+        open.set(open.get() + 1);
+        OpenConnectionGuard(node.clone())
+    }
+
+    /// Whether requests are open, or connections on which answers may still be written.
+    fn is_busy(&self) -> bool {
+        self.open_requests.get() > 0 || self.open_connections.get() > 0
+    }
 }
 
 /// Guard for a request that has no final answer yet.
@@ -72,6 +87,16 @@
     }
 }
 
+/// Guard for a caller's connection.
+pub(crate) struct OpenConnectionGuard(Rc<Node>);
+
+impl Drop for OpenConnectionGuard {
+    fn drop(&mut self) {
+        let open = &self.0.stop.open_connections;
+        open.set(open.get() - 1);
+    }
+}
+
 /// Waits for SIGTERM or SIGINT. SIGHUP is only logged.
 ///
 /// # Errors
@@ -89,8 +114,8 @@
     }
 }
 
-/// Announces that the node is leaving and waits until its open requests have ended or the grace period is nearly
-/// over.
+/// Announces that the node is leaving and waits until its open requests have ended and their answers are written, or the
+/// grace period is nearly over.
 pub(crate) async fn stop(node: &Rc<Node>, platform: Rc<dyn Platform>) {
     let since = Instant::now();
     node.stop.since.set(Some(since));
@@ -100,10 +125,10 @@
     sleep(STOP_ACCEPT_TIME).await;
     node.stop.closing.send_replace(true);
     let wait_limit = node.stop_grace.get().saturating_sub(STOP_MARGIN);
-    while node.stop.open_requests.get() > 0 && since.elapsed() < wait_limit {
+    while node.stop.is_busy() && since.elapsed() < wait_limit {
         sleep(POLL_INTERVAL).await;
     }
-    log::info!(open_requests = node.stop.open_requests.get(); "node stops now");
-    // Leaves time to write the last answers and to close connections properly.
+    log::info!(open_requests = node.stop.open_requests.get(), open_connections = node.stop.open_connections.get(); "node stops now");
+    // Leaves time to close connections properly.
     sleep(POLL_INTERVAL).await;
 }
--- a/crates/dragonflystep_edge/src/tunnels.rs
+++ b/crates/dragonflystep_edge/src/tunnels.rs
@@ -9,7 +9,9 @@
         stop::StopSignal,
     },
     dragonflystep_dispatch::MonotonicTime,
-    dragonflystep_peer::{NetworkStream, RequestedTunnel, TunnelEnd, TunnelRefusal, TunnelTarget},
+    dragonflystep_peer::{
+        NetworkStream, RequestedTunnel, TunnelEnd, TunnelProgress, TunnelRefusal, TunnelTarget,
+    },
     std::{cell::Cell, io, rc::Rc},
     tokio::time::sleep,
 };
@@ -83,7 +85,7 @@
     upstream: Box<dyn NetworkStream>,
 ) -> io::Result<()> {
     let _open_request = StopSignal::open_request(node);
-    let forwarding = tunnel.forward(upstream, |end| open_tunnel.record_piece(end));
+    let forwarding = tunnel.forward(upstream, |progress| open_tunnel.record(progress));
     let idle = async {
         // An error means that the node has stopped.
         let _ = node.stop.closing().wait_for(|is_closing| *is_closing).await;
@@ -120,7 +122,7 @@
 struct TunnelState {
     /// Address of the upstream, as IP:PORT.
     address: String,
-    /// Who sent the last piece, and when. A new tunnel, in which nobody waits for anything, counts like an answered one.
+    /// Who sent the last piece, and when it arrived or was taken. A new tunnel, in which nobody waits for anything, counts like an answered one.
     last_piece: Cell<(TunnelEnd, MonotonicTime)>,
 }
 
@@ -130,6 +132,8 @@
     state: Rc<TunnelState>,
     /// When its connection to the upstream was opened, until the upstream has sent something.
     unproved_since: Cell<Option<MonotonicTime>>,
+    /// Whether the node that opened the tunnel has yet to take a piece of the upstream.
+    has_untaken_piece: Cell<bool>,
 }
 
 impl OpenTunnel {
@@ -144,13 +148,23 @@
             node: node.clone(),
             state,
             unproved_since: Cell::default(),
+            has_untaken_piece: Cell::default(),
         }
     }
 
-    fn record_piece(&self, end: TunnelEnd) {
+    fn record(&self, progress: TunnelProgress) {
         let now = self.node.owner.now();
-        self.state.last_piece.set((end, now));
-        if end == TunnelEnd::Upstream {
+        match progress {
+            TunnelProgress::Received(end) => self.state.last_piece.set((end, now)),
+            TunnelProgress::Taken => {
+                if let (TunnelEnd::Upstream, _) = self.state.last_piece.get() {
+                    self.state.last_piece.set((TunnelEnd::Upstream, now));
+                }
+                self.has_untaken_piece.set(false);
+            }
+        }
+        if progress == TunnelProgress::Received(TunnelEnd::Upstream) {
+            self.has_untaken_piece.set(true);
             let unproved_since = self.unproved_since.take();
             self.node
                 .record_direct_answer(&self.state.address, unproved_since);
@@ -166,7 +180,8 @@
     fn is_idle(&self) -> bool {
         let (end, at) = self.state.last_piece.get();
         let elapsed = self.node.owner.now().saturating_sub(at);
-        end == TunnelEnd::Upstream && elapsed >= IDLE_TUNNEL_TIME
+        let is_answered = end == TunnelEnd::Upstream && !self.has_untaken_piece.get();
+        is_answered && elapsed >= IDLE_TUNNEL_TIME
     }
 }
 
--- a/crates/dragonflystep_peer/src/lib.rs
+++ b/crates/dragonflystep_peer/src/lib.rs
@@ -30,8 +30,8 @@
     server::{PeerHandler, SlotDecisionFuture, serve_peer},
     sockets::{KeepaliveLimits, configure_stream},
     tunnel::{
-        RequestedTunnel, TunnelEnd, TunnelError, TunnelFuture, TunnelRefusal, TunnelTarget,
-        open_tunnel,
+        RequestedTunnel, TunnelEnd, TunnelError, TunnelFuture, TunnelProgress, TunnelRefusal,
+        TunnelTarget, open_tunnel,
     },
 };
 
--- a/crates/dragonflystep_peer/src/tunnel.rs
+++ b/crates/dragonflystep_peer/src/tunnel.rs
@@ -244,6 +244,15 @@
     Upstream,
 }
 
+/// What happened in a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TunnelProgress {
+    /// A piece arrived from this end.
+    Received(TunnelEnd),
+    /// The node that opened the tunnel has taken the last piece of the upstream.
+    Taken,
+}
+
 impl RequestedTunnel {
     /// Reads what tunnel is requested from a connection whose [`PREAMBLE`] was read.
     pub(crate) async fn receive(
@@ -278,14 +287,14 @@
     }
 
     /// Forwards bytes between the opening node and an upstream until either of them closes its connection. `observe` is
-    /// called with the sender of each piece.
+    /// called with what happens.
     ///
     /// # Errors
     /// When either connection breaks.
     pub async fn forward(
         self,
         upstream: Box<dyn NetworkStream>,
-        observe: impl Fn(TunnelEnd),
+        observe: impl Fn(TunnelProgress),
     ) -> io::Result<()> {
         let Self {
             mut from_node,
@@ -300,7 +309,7 @@
                 if count == 0 {
                     return Ok(());
                 }
-                observe(TunnelEnd::Node);
+                observe(TunnelProgress::Received(TunnelEnd::Node));
                 to_upstream.write_all(&buffer[..count]).await?;
             }
         };
@@ -312,8 +321,9 @@
                 if piece.is_empty() {
                     return to_node.send(piece).await;
                 }
-                observe(TunnelEnd::Upstream);
+                observe(TunnelProgress::Received(TunnelEnd::Upstream));
                 to_node.send(piece).await?;
+                observe(TunnelProgress::Taken);
             }
         };
         // Dropping both connections tells the upstream that the caller left, and the node that the upstream did.
