Count nodes that refuse connections when a majority is needed

A network that resets connections looks like a machine without a process. Ruled out: slow gossip, as silent cuts do not show it, and paths over third nodes.

Quotas, rate limits and steps of roll-outs now need a majority of all listed nodes. Only the share of slots still leaves refusing nodes out: upstreams reject what exceeds their slots, and survivors of many killed processes need all of them. The cost: while more than half of the processes are down at once, the rest grants part of the quotas.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -191,7 +191,9 @@
             }
             Event::VisibilityChanged(visibility) => {
                 self.limit_share = partition_limit_share(visibility.visible, visibility.known);
-                let slots = (!visibility.is_majority()).then(|| visibility.fraction());
+                // Upstreams reject what exceeds their slots.
+                let running = visibility.without_refusing();
+                let slots = (!running.is_majority()).then(|| running.fraction());
                 for pool in self.pools.values_mut() {
                     pool.limit_slots(slots);
                 }
--- a/crates/dragonflystep_dispatch/src/ownership.rs
+++ b/crates/dragonflystep_dispatch/src/ownership.rs
@@ -70,7 +70,11 @@
 /// assert_eq!(partition_limit_share(1, 8), 0.03125);
 /// ```
 pub fn partition_limit_share(visible: usize, known: usize) -> f64 {
-    let visibility = Visibility { visible, known };
+    let visibility = Visibility {
+        visible,
+        known,
+        refusing: 0,
+    };
     if visibility.is_majority() {
         return 1.0;
     }
@@ -84,10 +88,25 @@
     pub visible: usize,
     /// Number of nodes that are listed.
     pub known: usize,
+    /// Number of listed nodes that refuse connections.
+    pub refusing: usize,
 }
 
 impl Visibility {
-    /// Whether more than half of the listed nodes are visible.
+    /// The same without the nodes that refuse connections.
+    ///
+    /// Usually no process runs there, but a network that resets connections looks the same. So this is only for limits that
+    /// something else enforces too, and never for what all nodes together may use once.
+    pub fn without_refusing(self) -> Self {
+        Self {
+            visible: self.visible,
+            known: self.known - self.refusing,
+            refusing: 0,
+        }
+    }
+
+    /// Whether more than half of the listed nodes are visible. Nodes that refuse connections count: they may be a majority of
+    /// their own behind a network that resets connections.
     pub fn is_majority(self) -> bool {
         self.visible * 2 > self.known
     }
--- a/crates/dragonflystep_dispatch/tests/cold_upstreams.rs
+++ b/crates/dragonflystep_dispatch/tests/cold_upstreams.rs
@@ -214,6 +214,7 @@
     let alone = Visibility {
         visible: 1,
         known: NODES,
+        refusing: 0,
     };
     load.handle_all(&Event::VisibilityChanged(alone));
     load.run(WARM_UP, 1);
@@ -228,6 +229,7 @@
     let contacts = Visibility {
         visible: 6,
         known: NODES,
+        refusing: 0,
     };
     load.handle_all(&Event::RecentContactsChanged(contacts));
     load.handle_all(&cold(0, WARM_UP * 10, Duration::ZERO));
--- a/crates/dragonflystep_dispatch/tests/decisions.rs
+++ b/crates/dragonflystep_dispatch/tests/decisions.rs
@@ -157,6 +157,7 @@
         Event::VisibilityChanged(Visibility {
             visible: 1,
             known: 8,
+            refusing: 0,
         }),
     );
     for run in 1..=2 {
@@ -168,6 +169,7 @@
         Event::VisibilityChanged(Visibility {
             visible: 8,
             known: 8,
+            refusing: 0,
         }),
     );
     let effects = owner.reduce(START, Event::Ticked);
--- a/crates/dragonflystep_dispatch/tests/quota_owners.rs
+++ b/crates/dragonflystep_dispatch/tests/quota_owners.rs
@@ -208,6 +208,7 @@
         let visibility = Visibility {
             visible,
             known: NODES,
+            refusing: 0,
         };
         self.nodes[node]
             .owner
--- a/crates/dragonflystep_dispatch/tests/rate_limits.rs
+++ b/crates/dragonflystep_dispatch/tests/rate_limits.rs
@@ -213,6 +213,7 @@
     load.handle(Event::VisibilityChanged(Visibility {
         visible: 2,
         known: 8,
+        refusing: 0,
     }));
     load.handle(limited(8.0));
     load.run_load(Duration::from_secs(20));
--- a/crates/dragonflystep_dispatch/tests/rollouts.rs
+++ b/crates/dragonflystep_dispatch/tests/rollouts.rs
@@ -227,6 +227,7 @@
     let visibility = Visibility {
         visible: 3,
         known: 10,
+        refusing: 0,
     };
     simulation
         .dispatcher
--- a/crates/dragonflystep_dispatch/tests/run_copies.rs
+++ b/crates/dragonflystep_dispatch/tests/run_copies.rs
@@ -180,6 +180,7 @@
     let visibility = Visibility {
         visible: 2,
         known: 6,
+        refusing: 0,
     };
     owner.reduce(START, Event::VisibilityChanged(visibility));
     let copies = fill(&mut owner, START, 1);
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -37,9 +37,8 @@
     failed_since: Option<MonotonicTime>,
     /// Whether a call to it was answered or failed since this node started.
     is_tried: bool,
-    /// Whether its machine refused the connection, which means that no process listens there. Such a node runs
-    /// nothing.
-    is_down: bool,
+    /// Whether the last call to it was refused: nothing listens there, or a network resets the connections to it.
+    is_refusing: bool,
     is_leaving: bool,
     /// Whether its last digest listed this node as unavailable.
     reports_us_unavailable: bool,
@@ -149,10 +148,10 @@
         self.peers.borrow().len() + 1
     }
 
-    /// Number of nodes that may be running, this one included.
-    pub(crate) fn known_count(&self) -> usize {
+    /// Number of nodes to which the last call was refused.
+    pub(crate) fn refusing_count(&self) -> usize {
         let peers = self.peers.borrow();
-        peers.values().filter(|peer| !peer.is_down).count() + 1
+        peers.values().filter(|peer| peer.is_refusing).count()
     }
 
     /// Number of nodes that are visible to this one and do not report it as unavailable, itself included.
@@ -359,7 +358,7 @@
             record,
             failed_since: None,
             is_tried: false,
-            is_down: false,
+            is_refusing: false,
             is_leaving: false,
             reports_us_unavailable: false,
         }
--- a/crates/dragonflystep_edge/src/members/reachability.rs
+++ b/crates/dragonflystep_edge/src/members/reachability.rs
@@ -20,7 +20,7 @@
         };
         let failed_since = peer.failed_since.take();
         peer.is_tried = true;
-        peer.is_down = false;
+        peer.is_refusing = false;
         peer.is_leaving = is_leaving;
         drop(peers);
         self.suspicions.borrow_mut().record_contact(now, node);
@@ -46,7 +46,7 @@
                 peer.failed_since = Some(now);
             }
             peer.is_tried = true;
-            peer.is_down = error.is_refused();
+            peer.is_refusing = error.is_refused();
             peer.link.reset();
         }
     }
--- a/crates/dragonflystep_edge/src/node/gauges.rs
+++ b/crates/dragonflystep_edge/src/node/gauges.rs
@@ -22,7 +22,7 @@
                     .as_secs_f64(),
             ),
             ("registry_version", self.views.registry().version as f64),
-            ("members_known", self.members.known_count() as f64),
+            ("members_known", self.members.listed_count() as f64),
             (
                 "members_visible",
                 self.members.mutually_visible_count(now) as f64,
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -155,7 +155,6 @@
     /// Reports to the dispatcher how many nodes are visible.
     pub(crate) fn update_visibility(&self) {
         self.update_recent_contacts();
-        let known = self.members.known_count();
         // Nodes that have not been tried count as visible, unless none of those that were tried answers. Otherwise
         // nodes that are each cut off from all others would each count themselves to the majority and grant whole
         // quotas.
@@ -170,7 +169,12 @@
             (true, true) => self.members.recent_contact_count(now),
             (true, false) => self.members.mutually_visible_count(now),
         };
-        if let Some(before) = self.owner.set_visibility(Visibility { visible, known }) {
+        let visibility = Visibility {
+            visible,
+            known: self.members.listed_count(),
+            refusing: self.members.refusing_count(),
+        };
+        if let Some(before) = self.owner.set_visibility(visibility) {
             let change = if visible < before.visible {
                 "fewer"
             } else {
@@ -186,14 +190,17 @@
     /// before a network partition; recent contacts do not.
     pub(crate) fn update_recent_contacts(&self) {
         let now = self.owner.now();
-        let known = self.members.known_count();
+        let known = self.members.listed_count();
         let contacts = self.members.recent_contact_count(now);
         // A node that has just started has heard from only a part of the nodes that call within the full window, so
         // the count is scaled up.
         let share_of_time = now.as_secs_f64() / RECENT_CONTACT_WINDOW.as_secs_f64();
         let expected = contacts as f64 / share_of_time.clamp(MIN_CONTACT_WINDOW_SHARE, 1.0);
         let visible = (expected as usize).min(known);
-        self.owner
-            .set_recent_contacts(Visibility { visible, known });
+        self.owner.set_recent_contacts(Visibility {
+            visible,
+            known,
+            refusing: 0,
+        });
     }
 }
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -57,10 +57,12 @@
             visibility: Cell::new(Visibility {
                 visible: 1,
                 known: 1,
+                refusing: 0,
             }),
             recent_contacts: Cell::new(Visibility {
                 visible: 1,
                 known: 1,
+                refusing: 0,
             }),
             request_queued: Notify::new(),
             rollouts,
--- a/crates/dragonflystep_peer/src/error.rs
+++ b/crates/dragonflystep_peer/src/error.rs
@@ -25,7 +25,7 @@
 }
 
 impl PeerError {
-    /// Whether the connection was refused, which means that nothing listens at the address.
+    /// Whether the connection was refused: nothing listens at the address, or a network resets connections to it.
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Connect { source, .. } if source.kind() == io::ErrorKind::ConnectionRefused)
     }
