Compare catalogue versions as plain numbers

A configuration whose version steps over a multiple of 2^42 was never in force: its version went through the comparison of the store's lists, which reads an era and a flag from the high bits. VersionedList now knows which kind of versions it has.

--- a/crates/dragonflystep_edge/src/versioned_list.rs
+++ b/crates/dragonflystep_edge/src/versioned_list.rs
@@ -81,10 +81,29 @@
     digest: u64,
 }
 
+/// What the versions of a list are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum VersionOrder {
+    /// Numbers of the operator, of which only the order counts.
+    Numbers,
+    /// Versions of a [`ListReading`](crate::list_version::ListReading), which know of eras of the platform's store.
+    Readings,
+}
+
+impl VersionOrder {
+    fn supersedes(self, theirs: u64, known: u64) -> bool {
+        match self {
+            Self::Numbers => theirs > known,
+            Self::Readings => supersedes(theirs, known),
+        }
+    }
+}
+
 /// A list with a version that only rises.
 #[derive(Clone, Debug)]
 pub(crate) struct VersionedList<T> {
     version: u64,
+    order: VersionOrder,
     stored: BTreeMap<Arc<str>, StoredEntry<T>>,
     /// The keys of all entries, by the version in which they last changed. Most questions are for the last few changes.
     changed: BTreeSet<(u64, Arc<str>)>,
@@ -103,6 +122,7 @@
     fn default() -> Self {
         Self {
             version: 0,
+            order: VersionOrder::Readings,
             stored: BTreeMap::new(),
             changed: BTreeSet::new(),
             tombstones: BTreeMap::new(),
@@ -115,6 +135,14 @@
 }
 
 impl<T: ListEntry> VersionedList<T> {
+    /// An empty list whose versions are numbers of the operator.
+    pub(crate) fn with_numbers() -> Self {
+        Self {
+            order: VersionOrder::Numbers,
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn version(&self) -> u64 {
         self.version
     }
@@ -136,7 +164,7 @@
 
     /// Whether a list of `their_version` is to replace this one.
     pub(crate) fn is_stale_against(&self, their_version: u64) -> bool {
-        supersedes(their_version, self.version)
+        self.order.supersedes(their_version, self.version)
             || self.needs_full_list && their_version == self.version
     }
 
@@ -218,7 +246,8 @@
         if changes.base_version == 0 {
             return self.replace(changes.version, changes.set);
         }
-        if !supersedes(changes.version, self.version) || changes.base_version > self.version {
+        let is_newer = self.order.supersedes(changes.version, self.version);
+        if !is_newer || changes.base_version > self.version {
             return false;
         }
         self.advance(changes.version, changes.set, &changes.removed);
--- a/crates/dragonflystep_edge/src/views.rs
+++ b/crates/dragonflystep_edge/src/views.rs
@@ -27,7 +27,6 @@
 }
 
 /// The catalogue and the registry in force, each also as a versioned list for other nodes.
-#[derive(Default)]
 pub(crate) struct Views {
     /// The routing table of the catalogue in force; `None` before the first catalogue.
     catalogue: RefCell<Option<Rc<RoutingTable>>>,
@@ -36,6 +35,17 @@
     registry_list: RefCell<VersionedList<Upstream>>,
 }
 
+impl Default for Views {
+    fn default() -> Self {
+        Self {
+            catalogue: RefCell::default(),
+            catalogue_list: RefCell::new(VersionedList::with_numbers()),
+            registry: RefCell::default(),
+            registry_list: RefCell::default(),
+        }
+    }
+}
+
 impl Views {
     /// The routing table of the catalogue in force.
     pub(crate) fn catalogue(&self) -> Option<Rc<RoutingTable>> {
