Keep what a node read itself about leaving upstreams

Nodes remember the upstreams of which they read themselves that they leave. Lists that await entries or are incomplete don't make these ready again; complete lists and the node's own readings do.

--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod held_bytes;
 mod job;
 mod job_end;
+mod left_upstreams;
 mod limits;
 mod list_fetch;
 mod list_version;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -310,3 +310,10 @@
 /// Longest time for which an upstream that broke off a stream may take to answer whether it still runs the request. The
 /// caller waits meanwhile; a pause that is longer than usual is noticed, but worth less than the stream.
 pub(crate) const STOP_RUN_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time for which a node remembers that it read that an upstream leaves. Nodes that the platform refuses may keep such an
+/// upstream for as long as they are refused, and some seconds more.
+pub(crate) const LEFT_UPSTREAM_MEMORY: Duration = Duration::from_secs(600);
+
+/// Maximum number of such upstreams; several times the number of upstreams of a large system.
+pub(crate) const MAX_LEFT_UPSTREAMS: usize = 8_192;
--- a/crates/dragonflystep_edge/src/list_version.rs
+++ b/crates/dragonflystep_edge/src/list_version.rs
@@ -100,6 +100,11 @@
     era_of(known) == era && known & KNOWS_EARLIER_ERA_BIT != 0
 }
 
+/// Whether a list of version `known` has entries that its reader only expects to return.
+pub(crate) fn awaits_entries(known: u64) -> bool {
+    known & COMPLETE_BIT == 0
+}
+
 /// Whether a list of version `theirs` is to replace one of version `known`.
 ///
 /// A list of a later era is not accepted if its reader does not know the earlier entries, because it may lack
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -31,7 +31,7 @@
     },
     dragonflystep_dispatch::{
         DataCentreName, Event, MonotonicTime, NodeIncarnation, NodeName, RegionName, RunId,
-        Upstream, UpstreamPhase, UpstreamVersion, Visibility, run_id,
+        Upstream, UpstreamId, UpstreamPhase, UpstreamVersion, Visibility, run_id,
     },
     dragonflystep_peer::Network,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -288,6 +288,16 @@
         self.activate_registry(has_changed, before, source);
     }
 
+    /// Records what this node itself read of an upstream in the platform's table: whether it takes requests, or leaves.
+    pub fn record_upstream_reading(&self, upstream: &UpstreamId, takes_requests: bool) {
+        let left = self.views.left_upstreams();
+        if takes_requests {
+            left.record_ready(upstream);
+        } else {
+            left.record(upstream.clone());
+        }
+    }
+
     /// Applies changes of the registry that another node sent.
     pub(crate) fn apply_registry_changes(&self, changes: Changes<Upstream>, source: &str) {
         let before = self.views.registry().version;
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -77,11 +77,12 @@
     }
 
     /// Whether the upstream accepts requests from this node. By the notices known here, it has not asked the node to
-    /// back off and is not leaving.
+    /// back off and is not leaving, and this node has not read itself that it leaves.
     pub(crate) fn accepts_requests(&self) -> bool {
         let (node, upstream) = (&self.node, &self.grant.upstream);
         let must_back_off = node.owner.is_backed_off(upstream, node.node_incarnation());
-        !must_back_off && !node.owner.is_leaving(upstream)
+        let has_left = node.views.left_upstreams().contains(upstream);
+        !must_back_off && !has_left && !node.owner.is_leaving(upstream)
     }
 
     /// Whether the request may be sent to the upstream's data centre: it is not evacuated, and the request may be
--- a/crates/dragonflystep_edge/src/views.rs
+++ b/crates/dragonflystep_edge/src/views.rs
@@ -3,6 +3,8 @@
 use {
     crate::{
         catalogue_list::{CatalogueEntry, catalogue_of, entries_of},
+        left_upstreams::LeftUpstreams,
+        list_version::awaits_entries,
         versioned_list::{Changes, ListEntry, VersionedList},
     },
     dragonflystep_dispatch::{Catalogue, DataCentreName, RoutingTable, Upstream, UpstreamId},
@@ -33,6 +35,7 @@
     catalogue_list: RefCell<VersionedList<CatalogueEntry>>,
     registry: RefCell<RegistryView>,
     registry_list: RefCell<VersionedList<Upstream>>,
+    left_upstreams: LeftUpstreams,
 }
 
 impl Default for Views {
@@ -42,6 +45,7 @@
             catalogue_list: RefCell::new(VersionedList::with_numbers()),
             registry: RefCell::default(),
             registry_list: RefCell::default(),
+            left_upstreams: LeftUpstreams::default(),
         }
     }
 }
@@ -118,14 +122,23 @@
     fn refresh_registry(&self, has_changed: bool) -> bool {
         if has_changed {
             let list = self.registry_list.borrow();
+            let mut upstreams: Vec<_> = list.entries().cloned().collect();
+            // A list that differs from the sender's may lack its removals.
+            let awaits_entries = awaits_entries(list.version()) || !list.is_complete();
+            self.left_upstreams.correct(&mut upstreams, awaits_entries);
             self.registry.replace(RegistryView {
                 version: list.version(),
-                upstreams: Rc::new(list.entries().cloned().collect()),
+                upstreams: Rc::new(upstreams),
             });
         }
         has_changed
     }
 
+    /// The upstreams of which this node has read itself that they leave.
+    pub(crate) fn left_upstreams(&self) -> &LeftUpstreams {
+        &self.left_upstreams
+    }
+
     /// The registry as a versioned list, to be sent to other nodes.
     pub(crate) fn registry_list(&self) -> Ref<'_, VersionedList<Upstream>> {
         self.registry_list.borrow()
