Let callers pause while they read an answer

A caller that read nothing for 4 s lost its answer without any disruption: the kernel counts a peer that takes no data like one that acknowledges none, and closes the connection after TCP_USER_TIMEOUT (2.5 s). Connections of callers no longer have it. Instead, a connection on which a caller has taken nothing for two idle timeouts of the catalogue is closed; a write that waits no longer counts as activity.

--- a/crates/dragonflystep_edge/src/connection_io.rs
+++ b/crates/dragonflystep_edge/src/connection_io.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Records whether the caller's side took bytes.
+    fn record_write(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if poll.is_ready() {
+            self.times.active_at.set(Instant::now());
+        }
+        poll
+    }
+
     /// Records that bytes were received and checks their framing; returns whether the connection may go on.
     fn check_received(&mut self, bytes: &[u8]) -> bool {
         let now = Instant::now();
@@ -113,8 +121,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.times.active_at.set(Instant::now());
-        Pin::new(&mut this.inner).poll_write(context, bytes)
+        let poll = Pin::new(&mut this.inner).poll_write(context, bytes);
+        this.record_write(poll)
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -135,7 +143,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.times.active_at.set(Instant::now());
-        Pin::new(&mut this.inner).poll_write_vectored(context, buffers)
+        let poll = Pin::new(&mut this.inner).poll_write_vectored(context, buffers);
+        this.record_write(poll)
     }
 }
--- a/crates/dragonflystep_edge/src/node/run.rs
+++ b/crates/dragonflystep_edge/src/node/run.rs
@@ -41,7 +41,12 @@
     let node = Rc::new(Node::new(settings, dialect, network.clone()));
     let started = Instant::now();
     let addresses = &node.settings;
-    let ingress = listen(&*network, addresses.ingress, "callers").await?;
+    let ingress = network.listen_for_callers(addresses.ingress).await;
+    let ingress = ingress.map_err(|source| NodeError::Listen {
+        address: addresses.ingress,
+        purpose: "callers",
+        source,
+    })?;
     let readiness = listen(&*network, addresses.readiness, "readiness").await?;
     let directory = listen(&*network, addresses.directory, "the directory").await?;
     let peers = listen(&*network, addresses.peers, "other nodes").await?;
--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -72,7 +72,8 @@
 }
 
 /// Serves one connection until it ends. A head that takes too long closes it at once; an idle timeout or the stop of
-/// the node closes it after the answer in progress.
+/// the node closes it after the answer in progress. A second idle timeout, in which nothing of that answer was taken, closes
+/// it as well.
 async fn serve_connection(node: Rc<Node>, stream: Box<dyn NetworkStream>, kind: ListenerKind) {
     let _open_connection =
         (kind == ListenerKind::Ingress).then(|| StopSignal::open_connection(&node));
@@ -89,6 +90,7 @@
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut closing = node.stop.closing();
+    let mut timed_out_at = None;
     let mut is_closing = *closing.borrow_and_update();
     if is_closing {
         connection.as_mut().graceful_shutdown();
@@ -112,11 +114,18 @@
                     log::info!(door:? = kind; "closed a connection whose request head did not arrive in time");
                     return;
                 }
+                if timed_out_at == Some(times.active_at.get()) {
+                    node.metrics.count("connections_closed_total", "stuck");
+                    log::info!(door:? = kind; "closed a connection whose peer has taken nothing for long");
+                    return;
+                }
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
                 // The HTTP library closes an idle connection when it is polled next. Restarting the idle timeout lets
                 // the loop poll it before another timeout.
-                times.active_at.set(Instant::now());
+                let now = Instant::now();
+                times.active_at.set(now);
+                timed_out_at = Some(now);
             }
             _ = closing.changed(), if !is_closing => {
                 is_closing = true;
--- a/crates/dragonflystep_peer/src/network.rs
+++ b/crates/dragonflystep_peer/src/network.rs
@@ -50,6 +50,11 @@
 
     /// Listens at `address` for connections.
     fn listen(&self, address: SocketAddr) -> ListenerFuture<'_>;
+
+    /// Listens at `address` for connections of callers, which may read slowly.
+    fn listen_for_callers(&self, address: SocketAddr) -> ListenerFuture<'_> {
+        self.listen(address)
+    }
 }
 
 /// TCP with keepalive probes, which close a connection whose peer no longer responds.
@@ -86,28 +91,40 @@
             let stream = timeout(CONNECT_TIMEOUT, self.open(address))
                 .await
                 .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-            configured(stream)
+            configured(stream, KeepaliveLimits::default())
         })
     }
 
     fn listen(&self, address: SocketAddr) -> ListenerFuture<'_> {
-        Box::pin(async move {
-            let socket = new_socket(address)?;
-            // A restarted node listens at the same address while old connections there still expire.
-            socket.set_reuseaddr(true)?;
-            socket.bind(address)?;
-            let listener: Box<dyn NetworkListener> = Box::new(socket.listen(LISTEN_BACKLOG)?);
-            Ok(listener)
-        })
+        Box::pin(async move { listen(address, KeepaliveLimits::default()) })
+    }
+
+    fn listen_for_callers(&self, address: SocketAddr) -> ListenerFuture<'_> {
+        Box::pin(async move { listen(address, KeepaliveLimits::for_callers()) })
     }
 }
 
-impl NetworkListener for TcpListener {
+fn listen(address: SocketAddr, limits: KeepaliveLimits) -> io::Result<Box<dyn NetworkListener>> {
+    let socket = new_socket(address)?;
+    // A restarted node listens at the same address while old connections there still expire.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    let listener = socket.listen(LISTEN_BACKLOG)?;
+    Ok(Box::new(ConfiguringListener { listener, limits }))
+}
+
+/// Accepts connections and sets their options.
+struct ConfiguringListener {
+    listener: TcpListener,
+    limits: KeepaliveLimits,
+}
+
+impl NetworkListener for ConfiguringListener {
     fn accept(&mut self) -> StreamFuture<'_> {
         Box::pin(async move {
             loop {
-                let (stream, _) = TcpListener::accept(self).await?;
-                match configured(stream) {
+                let (stream, _) = self.listener.accept().await?;
+                match configured(stream, self.limits) {
                     Ok(stream) => return Ok(stream),
                     Err(error) => {
                         log::debug!(
@@ -121,7 +138,7 @@
 }
 
 /// Sets the socket options of a new connection.
-fn configured(stream: TcpStream) -> io::Result<Box<dyn NetworkStream>> {
-    configure_stream(&stream, KeepaliveLimits::default())?;
+fn configured(stream: TcpStream, limits: KeepaliveLimits) -> io::Result<Box<dyn NetworkStream>> {
+    configure_stream(&stream, limits)?;
     Ok(Box::new(stream))
 }
--- a/crates/dragonflystep_peer/src/sockets.rs
+++ b/crates/dragonflystep_peer/src/sockets.rs
@@ -20,8 +20,8 @@
     pub probe_interval: Duration,
     /// Number of unanswered probes after which the connection is closed.
     pub probes: u32,
-    /// Time for which sent data may stay unacknowledged.
-    pub unacknowledged: Duration,
+    /// Time for which sent data may stay unacknowledged, or a peer may take none; none to leave it to the operating system.
+    pub unacknowledged: Option<Duration>,
 }
 
 impl Default for KeepaliveLimits {
@@ -31,7 +31,18 @@
         Self {
             probe_interval: Duration::from_secs(1),
             probes: 2,
-            unacknowledged: Duration::from_millis(2_500),
+            unacknowledged: Some(Duration::from_millis(2_500)),
+        }
+    }
+}
+
+impl KeepaliveLimits {
+    /// Limits for connections of callers, which may read nothing for a while. The operating system counts a peer that takes no
+    /// data like one that does not acknowledge any, so that there is no limit for it.
+    pub fn for_callers() -> Self {
+        Self {
+            unacknowledged: None,
+            ..Self::default()
         }
     }
 }
@@ -48,5 +59,5 @@
         .with_interval(limits.probe_interval)
         .with_retries(limits.probes);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(limits.unacknowledged))
+    socket.set_tcp_user_timeout(limits.unacknowledged)
 }
