Limit heads by their length, not by 100 lines

A request with more than 100 header lines was answered 431, whatever their length: the HTTP library's default. The limit is 1,024 lines now, for answers of upstreams too; the configured length of a head binds before it.

--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -167,6 +167,10 @@
 /// size to which the read buffer of a connection may grow.
 pub(crate) const MAX_ANSWER_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of header lines of a request or an answer. The length of a head is what limits it; the HTTP library reserves
+/// memory for each line.
+pub(crate) const MAX_HEADER_LINES: usize = 1_024;
+
 /// Maximum number of bytes that a connection to an upstream delivers while nothing of an answer reaches its reader. Larger than
 /// a head and the bytes of the body that are read along with it.
 pub(crate) const MAX_UNDELIVERED_BYTES: usize = 4 * MAX_ANSWER_HEAD_BYTES;
--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -4,6 +4,7 @@
     crate::{
         answer::AnswerBody,
         connection_io::{CheckedConnection, ConnectionTimes},
+        limits::MAX_HEADER_LINES,
         node::Node,
         request::serve_request,
         stop::StopSignal,
@@ -86,6 +87,7 @@
     let buffer = client_limits(&node).max_header_bytes + BUFFER_MARGIN_BYTES;
     let connection = http1::Builder::new()
         .max_buf_size(buffer.max(8 << 10))
+        .max_headers(MAX_HEADER_LINES)
         .title_case_headers(true)
         .serve_connection(io, service);
     let mut connection = pin!(connection);
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         limits::{
-            DEFAULT_KEEP_ALIVE, MAX_ANSWER_HEAD_BYTES, MAX_IDLE_CONNECTIONS,
+            DEFAULT_KEEP_ALIVE, MAX_ANSWER_HEAD_BYTES, MAX_HEADER_LINES, MAX_IDLE_CONNECTIONS,
             USABLE_KEEP_ALIVE_SHARE,
         },
         metered_stream::{MeteredStream, UndeliveredBytes},
@@ -292,6 +292,7 @@
     let (sender, connection) = Builder::new()
         .title_case_headers(true)
         .max_buf_size(MAX_ANSWER_HEAD_BYTES)
+        .max_headers(MAX_HEADER_LINES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
