Share the limits by the number of nodes when the others refuse connections

A partition whose missing nodes all refuse is seen by them in the same way if the network resets connections; so each side uses the share of its nodes, and both together use the limits once. A majority gives up nothing for an eighth of the nodes or fewer, which the tolerance covers.

The rate is multiplied by the share now. Ruled out: that the majority does not notice the refusals.

The property test of partitions now has ones that reset and mixed ones.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -190,7 +190,7 @@
                 self.place_all_waiting(now, &mut effects);
             }
             Event::VisibilityChanged(visibility) => {
-                self.limit_share = partition_limit_share(visibility.visible, visibility.known);
+                self.limit_share = partition_limit_share(visibility);
                 // Upstreams reject what exceeds their slots.
                 let running = visibility.without_refusing();
                 let slots = (!running.is_majority()).then(|| running.fraction());
@@ -200,7 +200,7 @@
                 self.apply_rate_limit_share(now);
             }
             Event::RecentContactsChanged(contacts) => {
-                self.quota_share = partition_limit_share(contacts.visible, contacts.known);
+                self.quota_share = partition_limit_share(contacts);
                 self.apply_rate_limit_share(now);
             }
             Event::RegistryFreshnessChanged(is_fresh) => self.is_registry_fresh = is_fresh,
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -215,8 +215,8 @@
 /// account's quota.
 pub(crate) const UNREPORTED_STARTS_COVERED: f64 = 4.0;
 
-/// Largest share of an account's quota that all partitions without a majority may grant together beside a majority:
-/// they hold less than half of the nodes, and each grants [`MINORITY_LIMIT_SHARE`] of its fraction.
+/// Largest share of an account's quota that all partitions without a majority may grant together beside a majority that
+/// uses the whole quota: they hold less than half of the nodes, and each grants [`MINORITY_LIMIT_SHARE`] of its fraction.
 pub(crate) const ALL_MINORITIES_QUOTA_SHARE: f64 = MINORITY_LIMIT_SHARE / 2.0;
 
 /// Window in which an upstream counts its rejections against the number that it bears.
--- a/crates/dragonflystep_dispatch/src/ownership.rs
+++ b/crates/dragonflystep_dispatch/src/ownership.rs
@@ -4,7 +4,10 @@
 //! enforces the limits on its own, and upstreams refuse excess requests, so that no request has to wait for a lease.
 
 use {
-    crate::ids::NodeName,
+    crate::{
+        ids::NodeName,
+        limits::{ALL_MINORITIES_QUOTA_SHARE, MINORITY_LIMIT_SHARE},
+    },
     std::{
         cmp::Ordering,
         hash::{DefaultHasher, Hash, Hasher},
@@ -62,23 +65,37 @@
 /// A partition with a majority of the members uses the limits in full. Any other partition uses a small share, so that
 /// all partitions together stay close to the limits.
 ///
+/// Nodes that refuse connections have ended, or are behind a network that resets connections. In that case they see this
+/// partition in the same way, so that each side uses the share of its nodes: together they use the limits once. A majority
+/// gives up nothing for few of them, since the tolerance covers them as it covers a small partition.
+///
 /// # Examples
 /// ```
-/// use dragonflystep_dispatch::partition_limit_share;
+/// use dragonflystep_dispatch::{Visibility, partition_limit_share};
 ///
-/// assert_eq!(partition_limit_share(5, 8), 1.0);
-/// assert_eq!(partition_limit_share(1, 8), 0.03125);
+/// let visible = |visible, refusing| Visibility { visible, known: 8, refusing };
+/// assert_eq!(partition_limit_share(visible(5, 0)), 1.0);
+/// assert_eq!(partition_limit_share(visible(1, 0)), 0.03125);
+/// assert_eq!(partition_limit_share(visible(5, 3)), 0.625);
+/// assert_eq!(partition_limit_share(visible(3, 5)), 0.375);
+/// assert_eq!(partition_limit_share(visible(7, 1)), 1.0);
 /// ```
-pub fn partition_limit_share(visible: usize, known: usize) -> f64 {
-    let visibility = Visibility {
-        visible,
-        known,
-        refusing: 0,
-    };
+pub fn partition_limit_share(visibility: Visibility) -> f64 {
+    let refusing_fraction = visibility.refusing as f64 / visibility.known.max(1) as f64;
     if visibility.is_majority() {
-        return 1.0;
+        let is_covered = refusing_fraction <= ALL_MINORITIES_QUOTA_SHARE;
+        return if is_covered {
+            1.0
+        } else {
+            1.0 - refusing_fraction
+        };
+    }
+    let has_silent_nodes = visibility.visible + visibility.refusing < visibility.known;
+    if has_silent_nodes {
+        MINORITY_LIMIT_SHARE * visibility.fraction()
+    } else {
+        visibility.fraction()
     }
-    crate::limits::MINORITY_LIMIT_SHARE * visibility.fraction()
 }
 
 /// How many of the listed nodes a node sees, itself included.
--- a/crates/dragonflystep_dispatch/src/quota.rs
+++ b/crates/dragonflystep_dispatch/src/quota.rs
@@ -163,8 +163,8 @@
 /// Returns the refill rate and the size of an account's bucket, at a node with `share` of the common limits.
 ///
 /// A part of the tolerance is reserved for partitions without a majority and for owners without usage reports. The rest
-/// raises the refill rate, so that an account that stays within its quota is hardly ever refused. A node that sees no
-/// majority does not use the tolerance.
+/// raises the refill rate, so that an account that stays within its quota is hardly ever refused. A small partition does
+/// not use the tolerance.
 fn rate_and_burst(
     rules: &QuotaRules,
     quota: &AccountQuota,
@@ -179,7 +179,7 @@
     }
     let window_s = rules.window.as_secs_f64().max(1.0);
     let rate = quota.units_per_s + usable_tolerance(rules, quota, largest_units) / window_s;
-    (rate, burst)
+    (rate * share, burst)
 }
 
 /// Returns the units that the quota permits within a window, without the tolerance.
--- a/crates/dragonflystep_dispatch/tests/ownership.rs
+++ b/crates/dragonflystep_dispatch/tests/ownership.rs
@@ -4,7 +4,7 @@
 //! without need, and against partitions that together exceed the shared limits.
 
 use {
-    dragonflystep_dispatch::{Member, NodeName, partition_limit_share, rank_owners},
+    dragonflystep_dispatch::{Member, NodeName, Visibility, partition_limit_share, rank_owners},
     proptest::prelude::*,
 };
 
@@ -44,8 +44,29 @@
         partitions in proptest::collection::vec(1_usize..12, 1..8),
     ) {
         let known: usize = partitions.iter().sum();
-        let total: f64 = partitions.iter().map(|visible| partition_limit_share(*visible, known)).sum();
-        prop_assert!(total <= 1.125 + 1e-9, "{}", total);
+        let share = |visible, refusing| {
+            partition_limit_share(Visibility { visible, known, refusing })
+        };
+        let silent: f64 = partitions.iter().map(|visible| share(*visible, 0)).sum();
+        prop_assert!(silent <= 1.125 + 1e-9, "{}", silent);
+        let resetting: f64 = partitions.iter().map(|visible| share(*visible, known - visible)).sum();
+        prop_assert!(resetting <= 1.125 + 1e-9, "{}", resetting);
+        // The first two reset each other's connections, and nothing arrives from the others.
+        let neighbours: usize = partitions.iter().take(2).sum();
+        let mixed: f64 = partitions.iter().enumerate().map(|(index, visible)| {
+            let refusing = if index < 2 { neighbours - visible } else { 0 };
+            share(*visible, refusing)
+        }).sum();
+        prop_assert!(mixed <= 1.125 + 1e-9, "{}", mixed);
+    }
+
+    #[test]
+    fn nodes_that_are_left_use_the_share_of_their_number_when_the_others_have_ended(
+        left in 1_usize..40, ended in 1_usize..40,
+    ) {
+        let known = left + ended;
+        let share = partition_limit_share(Visibility { visible: left, known, refusing: ended });
+        prop_assert!(share >= left as f64 / known as f64 - 1e-9, "{}", share);
     }
 }
 
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -200,7 +200,7 @@
         self.owner.set_recent_contacts(Visibility {
             visible,
             known,
-            refusing: 0,
+            refusing: self.members.refusing_count().min(known - visible),
         });
     }
 }
