Let only claimed answers prove the path to an upstream

An answer to another call counted as proof that a new connection carries answers, since it was recorded before it was known whose answer it is. No caller saw a consequence; found when each reader of an answer was walked again.

--- a/crates/dragonflystep_edge/src/upstream_answer.rs
+++ b/crates/dragonflystep_edge/src/upstream_answer.rs
@@ -94,12 +94,13 @@
 
 impl UpstreamAnswer {
     fn accept_if(
-        self,
+        mut self,
         is_own: bool,
         node: &Node,
         waiting: &'static str,
     ) -> Result<Self, ForeignAnswer> {
         if is_own {
+            node.record_answer_on(&mut self.connection);
             return Ok(self);
         }
         node.metrics.count("foreign_answers_total", waiting);
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -242,6 +242,14 @@
         }
     }
 
+    /// Records that a connection has carried the answer to the call that waited there.
+    pub(crate) fn record_answer_on(&self, connection: &mut OpenConnection) {
+        if connection.is_direct() {
+            let unproved_since = connection.unproved_since.take();
+            self.record_direct_answer(&connection.address, unproved_since);
+        }
+    }
+
     async fn try_send(
         &self,
         mut connection: OpenConnection,
@@ -251,12 +259,6 @@
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.note_delivery();
-                if connection.is_direct() {
-                    self.record_direct_answer(
-                        &connection.address,
-                        connection.unproved_since.take(),
-                    );
-                }
                 Ok(UnclaimedAnswer::new(response, connection))
             }
             Err(mut error) => Err(match error.take_message() {
