Answer a request although rejected bytes follow it

The framing check now tells how many bytes belong to whole requests before the fault; these are passed on, and the error reply and the close follow their answers.

--- a/crates/dragonflystep_edge/src/connection_io.rs
+++ b/crates/dragonflystep_edge/src/connection_io.rs
@@ -49,6 +49,8 @@
     check: FramingCheck,
     /// Whether the framing was rejected; all further reads report the end of the connection.
     is_rejected: bool,
+    /// Whether the next read returns [`INVALID_HEAD`], after the whole requests before the rejected bytes.
+    is_invalid_head_due: bool,
     times: Rc<ConnectionTimes>,
 }
 
@@ -58,10 +60,19 @@
             inner: TokioIo::new(stream),
             check: FramingCheck::default(),
             is_rejected: false,
+            is_invalid_head_due: false,
             times,
         }
     }
 
+    /// Returns [`INVALID_HEAD`] to the reader, once.
+    fn put_invalid_head(&mut self, buffer: &mut ReadBufCursor<'_>) {
+        if std::mem::take(&mut self.is_invalid_head_due) {
+            let length = INVALID_HEAD.len().min(buffer.remaining());
+            buffer.put_slice(&INVALID_HEAD[..length]);
+        }
+    }
+
     /// Records whether the caller's side took bytes.
     fn record_write(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if poll.is_ready() {
@@ -70,21 +81,23 @@
         poll
     }
 
-    /// Records that bytes were received and checks their framing; returns whether the connection may go on.
-    fn check_received(&mut self, bytes: &[u8]) -> bool {
+    /// Records that bytes were received and checks their framing. Returns how many of them may be passed on.
+    fn check_received(&mut self, bytes: &[u8]) -> usize {
         let now = Instant::now();
         self.times.active_at.set(now);
-        let result = self.check.feed(bytes);
-        let started_at = self.check.is_in_head().then(|| {
-            let before = self.times.head_started_at.get();
-            before.unwrap_or(now)
-        });
-        self.times.head_started_at.set(started_at);
-        if let Err(fault) = result {
-            log::info!(fault:? = fault; "rejected the framing of a connection");
-            self.is_rejected = true;
-        }
-        !self.is_rejected
+        let Err(rejected) = self.check.feed(bytes) else {
+            let started_at = self.check.is_in_head().then(|| {
+                let before = self.times.head_started_at.get();
+                before.unwrap_or(now)
+            });
+            self.times.head_started_at.set(started_at);
+            return bytes.len();
+        };
+        log::info!(fault:? = rejected.fault; "rejected the framing of a connection");
+        self.times.head_started_at.set(None);
+        self.is_rejected = true;
+        self.is_invalid_head_due = true;
+        rejected.whole_request_bytes
     }
 }
 
@@ -96,6 +109,7 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         if this.is_rejected {
+            this.put_invalid_head(&mut buffer);
             return Poll::Ready(Ok(()));
         }
         let mut storage = [0_u8; MAX_READ_BYTES];
@@ -104,11 +118,14 @@
         let stream = Pin::new(this.inner.inner_mut());
         ready!(tokio::io::AsyncRead::poll_read(stream, context, &mut read))?;
         let bytes = read.filled();
-        if bytes.is_empty() || this.check_received(bytes) {
-            buffer.put_slice(bytes);
-        } else {
-            let invalid_head = &INVALID_HEAD[..INVALID_HEAD.len().min(buffer.remaining())];
-            buffer.put_slice(invalid_head);
+        if bytes.is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        let passed_on = this.check_received(bytes);
+        buffer.put_slice(&bytes[..passed_on]);
+        if passed_on == 0 {
+            // An empty read would be taken for the end of the connection.
+            this.put_invalid_head(&mut buffer);
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/dragonflystep_edge/src/framing_check.rs
+++ b/crates/dragonflystep_edge/src/framing_check.rs
@@ -19,6 +19,14 @@
     Chunk,
 }
 
+/// A fault, and where it lies in the bytes that were fed last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RejectedBytes {
+    pub(crate) fault: FramingFault,
+    /// Number of bytes up to the end of the last whole request before the fault.
+    pub(crate) whole_request_bytes: usize,
+}
+
 /// Longest line of a head or of trailers, in bytes; a longer one is rejected.
 const MAX_LINE_BYTES: usize = 64 << 10;
 
@@ -67,37 +75,48 @@
     }
 
     /// Checks the next received bytes.
-    pub(crate) fn feed(&mut self, mut bytes: &[u8]) -> Result<(), FramingFault> {
+    pub(crate) fn feed(&mut self, received: &[u8]) -> Result<(), RejectedBytes> {
+        let mut bytes = received;
+        let mut whole_request_bytes = 0;
         while !bytes.is_empty() {
-            bytes = match self.state {
-                State::Body { remaining } => {
-                    self.skip(bytes, remaining, State::Head, |remaining| State::Body {
-                        remaining,
-                    })
-                }
-                State::ChunkData { remaining } => {
-                    self.skip(bytes, remaining, State::ChunkEnd { seen: 0 }, |remaining| {
-                        State::ChunkData { remaining }
-                    })
-                }
-                State::ChunkEnd { seen } => {
-                    let expected = if seen == 0 { b'\r' } else { b'\n' };
-                    if bytes[0] != expected {
-                        return Err(FramingFault::Chunk);
-                    }
-                    self.state = if seen == 0 {
-                        State::ChunkEnd { seen: 1 }
-                    } else {
-                        State::ChunkSize
-                    };
-                    &bytes[1..]
-                }
-                State::Head | State::ChunkSize | State::Trailers => self.feed_line(bytes)?,
-            };
+            bytes = self.feed_part(bytes).map_err(|fault| RejectedBytes {
+                fault,
+                whole_request_bytes,
+            })?;
+            if self.state == State::Head && !self.is_in_head() {
+                whole_request_bytes = received.len() - bytes.len();
+            }
         }
         Ok(())
     }
 
+    /// Checks bytes up to the end of a line or of a part of a body, and returns those that follow.
+    fn feed_part<'a>(&mut self, bytes: &'a [u8]) -> Result<&'a [u8], FramingFault> {
+        Ok(match self.state {
+            State::Body { remaining } => self.skip(bytes, remaining, State::Head, |remaining| {
+                State::Body { remaining }
+            }),
+            State::ChunkData { remaining } => {
+                self.skip(bytes, remaining, State::ChunkEnd { seen: 0 }, |remaining| {
+                    State::ChunkData { remaining }
+                })
+            }
+            State::ChunkEnd { seen } => {
+                let expected = if seen == 0 { b'\r' } else { b'\n' };
+                if bytes[0] != expected {
+                    return Err(FramingFault::Chunk);
+                }
+                self.state = if seen == 0 {
+                    State::ChunkEnd { seen: 1 }
+                } else {
+                    State::ChunkSize
+                };
+                &bytes[1..]
+            }
+            State::Head | State::ChunkSize | State::Trailers => self.feed_line(bytes)?,
+        })
+    }
+
     /// Skips up to `remaining` bytes of a body or chunk and returns the bytes that follow. The next state is `after` if
     /// all of them have arrived, and otherwise `during` with the number of bytes still to come.
     fn skip<'a>(
