--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -14,7 +14,6 @@
         relay::Relay,
         upstream_connections::SendError,
     },
-    bytes::Bytes,
     dragonflystep_dispatch::{CopyTarget, Grant},
     http::{HeaderValue, Method, Request, Uri, header},
     http_body_util::Full,
@@ -172,12 +171,11 @@
             return Ok(RunStop::Unclear);
         }
     };
-    let body = match answer.read_short_body().await {
-        Ok(body) => body,
+    match answer.read_short_body().await {
+        Ok(body) => Ok(node.dialect.read_run_stop(answer.head.status, &body)),
         Err(error) => {
-            log::debug!(error:%; "the answer of an upstream that stops a run could not be read");
-            Bytes::new()
+            log::warn!(request:% = job.facts.request_id, upstream:% = source.upstream, error:%; "the answer to an order to stop a run can't be read");
+            Ok(RunStop::Unclear)
         }
-    };
-    Ok(node.dialect.read_run_stop(answer.head.status, &body))
+    }
 }
