Say what each reply that promises "not run" rests on

No decision changes here.

- Each dispatch keeps the evidence that it did not run (withheld, crashing_content, unconfirmed, no_path, unreachable, rejected and misdirected, each named or unnamed).
`DispatchOutcome::NotRun` carries it in place of a string.
- `request refused` and `request ended without having run` carry `evidence` and `upstreams` for each dispatch, and `dispatches`; `upstream did not run the request` carries `status` and `named_request`.
- `not_run_replies_total` counts by the least reliable evidence; `none` would be a reply that promises too much.

Not in it: how many requests the connection of a rejection had carried; the connection has no count yet.

--- a/crates/dragonflystep_edge/src/attempts.rs
+++ b/crates/dragonflystep_edge/src/attempts.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        job::Job,
+        job::{DispatchOutcome, Job},
+        not_run::{NEVER_DISPATCHED, NO_EVIDENCE, NotRunEvidence},
         slots::{Slot, acquire_slot},
     },
     dragonflystep_dispatch::{Grant, Refusal, UpstreamId, UpstreamVersion},
@@ -21,8 +22,8 @@
     pub(crate) has_run: bool,
     /// Total time spent waiting for slots.
     pub(crate) queued: Duration,
-    /// The upstreams of all granted slots in order, including those to which nothing was sent.
-    tried: Vec<UpstreamId>,
+    /// The dispatches to the upstreams of all granted slots in order, including those of which nothing was sent.
+    dispatches: Vec<Dispatch>,
     /// Software version of the upstream whose events the caller received; none before the first event.
     pub(crate) stream_version: Option<UpstreamVersion>,
     /// When the latest event of an upstream arrived; none before the first one.
@@ -35,6 +36,13 @@
     pub(crate) has_continued: bool,
 }
 
+/// One dispatch of a request to the upstream of a slot.
+struct Dispatch {
+    upstream: UpstreamId,
+    /// What shows that it did not run; none while it may run or have run.
+    not_run: Option<NotRunEvidence>,
+}
+
 impl Attempts {
     /// Requests a slot for the next attempt.
     pub(crate) async fn request_slot(&mut self, job: &Job) -> Result<Slot, Refusal> {
@@ -48,7 +56,8 @@
 
     /// The upstream of the latest slot, even if nothing could be sent to it; empty when there is none.
     pub(crate) fn last_upstream(&self) -> &str {
-        self.tried.last().map_or("", |upstream| &**upstream)
+        let last = self.dispatches.last();
+        last.map_or("", |dispatch| &*dispatch.upstream)
     }
 
     /// Records the time spent waiting for slots so far as a metric.
@@ -58,11 +67,57 @@
     }
 
     /// The upstreams of all granted slots in order, which the next slot request excludes.
-    pub(crate) fn upstreams(&self) -> &[UpstreamId] {
-        &self.tried
+    pub(crate) fn upstreams(&self) -> Vec<UpstreamId> {
+        let dispatches = self.dispatches.iter();
+        dispatches
+            .map(|dispatch| dispatch.upstream.clone())
+            .collect()
+    }
+
+    /// Number of dispatches, including those of which nothing was sent.
+    pub(crate) fn dispatch_count(&self) -> usize {
+        self.dispatches.len()
+    }
+
+    /// The upstreams of all dispatches in order, for log records.
+    pub(crate) fn upstream_list(&self) -> String {
+        self.upstreams().join(",")
+    }
+
+    /// What shows for each dispatch in order that it did not run, for log records.
+    pub(crate) fn evidence_list(&self) -> String {
+        if self.dispatches.is_empty() {
+            return NEVER_DISPATCHED.to_owned();
+        }
+        let evidence = self.dispatches.iter().map(|dispatch| dispatch.not_run);
+        let labels = evidence.map(|evidence| evidence.map_or(NO_EVIDENCE, NotRunEvidence::label));
+        labels.collect::<Vec<_>>().join(",")
+    }
+
+    /// The least reliable evidence on which a reply rests that the request did not run, for metrics.
+    pub(crate) fn evidence_label(&self) -> &'static str {
+        let evidence = self.dispatches.iter().map(|dispatch| dispatch.not_run);
+        if evidence.clone().any(|evidence| evidence.is_none()) {
+            return NO_EVIDENCE;
+        }
+        let weakest = evidence.flatten().max();
+        weakest.map_or(NEVER_DISPATCHED, NotRunEvidence::label)
+    }
+
+    /// Records how the latest dispatch ended. Its upstream stays excluded.
+    pub(crate) fn record_outcome(&mut self, outcome: &DispatchOutcome) {
+        let DispatchOutcome::NotRun(evidence) = outcome else {
+            return;
+        };
+        if let Some(dispatch) = self.dispatches.last_mut() {
+            dispatch.not_run = Some(*evidence);
+        }
+        if evidence.is_unsent() {
+            self.uncount_sent();
+        }
     }
 
-    /// Uncounts the last attempt because nothing was sent; its upstream is still excluded.
+    /// Uncounts the last attempt.
     pub(crate) fn uncount_sent(&mut self) {
         self.sent -= 1;
     }
@@ -70,7 +125,10 @@
     /// Counts an attempt at the upstream of a slot.
     pub(crate) fn count_sent(&mut self, grant: &Grant) {
         self.sent += 1;
-        self.tried.push(grant.upstream.clone());
+        self.dispatches.push(Dispatch {
+            upstream: grant.upstream.clone(),
+            not_run: None,
+        });
         self.last_grant = Some(grant.clone());
     }
 }
--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -106,13 +106,17 @@
         outcome = job.clone().send_once(slot, Some(resume)) => outcome,
         () = caller.chunks.closed() => return Err("caller_left"),
     };
+    attempts.record_outcome(&outcome);
     match outcome {
         DispatchOutcome::Streaming(relay) => {
             attempts.has_continued = true;
             Ok(*relay)
         }
-        DispatchOutcome::NotRun(_) => {
-            attempts.uncount_sent();
+        DispatchOutcome::NotRun(evidence) => {
+            // A copy that the upstream no longer has costs no attempt either.
+            if !evidence.is_unsent() {
+                attempts.uncount_sent();
+            }
             Err("copy_unusable")
         }
         DispatchOutcome::Buffered(_) | DispatchOutcome::Unknown(_) => Err("failed"),
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -14,6 +14,7 @@
         held_bytes::Hold,
         limits::{LATE_ANSWER_MARGIN, MAX_SLOT_REQUESTS},
         node::Node,
+        not_run::NotRunEvidence,
         relay::{Relay, buffer_answer},
         slots::{RunStats, Slot},
         stop::OpenRequest,
@@ -35,13 +36,6 @@
     },
 };
 
-/// Reasons for which a request was not sent to its upstream; such a dispatch does not count as an attempt.
-const UNREACHABLE: &str = "unreachable";
-const UNCONFIRMED: &str = "unconfirmed";
-const WITHHELD: &str = "withheld";
-const NO_PATH: &str = "no_path";
-const CRASHING_CONTENT: &str = "breaks_upstreams";
-
 /// A routed request with its whole body, from its arrival until its final answer.
 pub(crate) struct Job {
     pub(crate) node: Rc<Node>,
@@ -78,22 +72,12 @@
     Streaming(Box<Relay>),
     /// The whole answer of the upstream.
     Buffered(Response<AnswerBody>),
-    /// The request did not run, for this reason.
-    NotRun(&'static str),
+    /// The request did not run, as this shows.
+    NotRun(NotRunEvidence),
     /// The request may have run, but there is no usable answer, for this reason.
     Unknown(&'static str),
 }
 
-impl DispatchOutcome {
-    /// Whether nothing was sent to the upstream; the dispatch then does not count as an attempt.
-    pub(crate) fn is_unsent(&self) -> bool {
-        matches!(
-            self,
-            Self::NotRun(UNREACHABLE | UNCONFIRMED | WITHHELD | NO_PATH | CRASHING_CONTENT)
-        )
-    }
-}
-
 impl Job {
     /// Requests slots and sends the request until there is an answer or it may not be sent again.
     pub(crate) async fn run(self: Rc<Self>) -> Response<AnswerBody> {
@@ -116,9 +100,9 @@
                     self.log_server_error(response.status(), &attempts);
                     server_error = Some(response);
                 }
-                DispatchOutcome::NotRun(reason) => {
+                DispatchOutcome::NotRun(evidence) => {
                     if !self.may_send_again(&attempts) {
-                        break self.give_up(reason, &attempts, server_error);
+                        break self.give_up(evidence.reason(), &attempts, server_error);
                     }
                 }
                 DispatchOutcome::Unknown(reason) => {
@@ -199,7 +183,7 @@
             longest_pause,
             size: self.facts.size.clone(),
             previous_attempts: attempts.sent,
-            excluded_upstreams: attempts.upstreams().to_vec(),
+            excluded_upstreams: attempts.upstreams(),
             fingerprint: self.fingerprint,
             shared_content: self.shared_content.clone(),
             data_centre: self.node.settings.data_centre.clone(),
@@ -222,9 +206,7 @@
         } else {
             self.send_once(slot, None).await
         };
-        if outcome.is_unsent() {
-            attempts.uncount_sent();
-        }
+        attempts.record_outcome(&outcome);
         outcome
     }
 
@@ -237,27 +219,27 @@
         if !confirm_upstream(&self.node, &self.service, &slot.grant).await {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream does not confirm that it takes requests, and nobody else is heard");
             slot.end(RunOutcome::Unreachable, RunStats::default());
-            return DispatchOutcome::NotRun(UNCONFIRMED);
+            return DispatchOutcome::NotRun(NotRunEvidence::Unconfirmed);
         }
         if !slot.permits_data_centre() {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "the upstream's data centre takes no such request; its slot is returned");
             slot.return_unused();
-            return DispatchOutcome::NotRun(WITHHELD);
+            return DispatchOutcome::NotRun(NotRunEvidence::Withheld);
         }
         if !slot.has_required_version() {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, version:% = slot.version(); "the upstream has another software version than the stream; its slot is returned");
             slot.return_unused();
-            return DispatchOutcome::NotRun(WITHHELD);
+            return DispatchOutcome::NotRun(NotRunEvidence::Withheld);
         }
         if slot.holds_crashing_content() {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, content:% = self.content(); "the request holds content that crashes upstreams; its slot is returned");
             slot.return_unused();
-            return DispatchOutcome::NotRun(CRASHING_CONTENT);
+            return DispatchOutcome::NotRun(NotRunEvidence::CrashingContent);
         }
         if !slot.accepts_requests() {
             log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "upstream wants no request, as this node was told; its place is given back");
             slot.return_unused();
-            return DispatchOutcome::NotRun(WITHHELD);
+            return DispatchOutcome::NotRun(NotRunEvidence::Withheld);
         }
         let request = self.upstream_request(&slot.grant, resume.as_ref());
         let address = slot.grant.address.clone();
@@ -270,12 +252,12 @@
             Ok(Err(SendError::NotSent(error))) => {
                 log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, error:%; "could not connect to the upstream");
                 slot.end(RunOutcome::Unreachable, RunStats::default());
-                return DispatchOutcome::NotRun(UNREACHABLE);
+                return DispatchOutcome::NotRun(NotRunEvidence::Unreachable);
             }
             Ok(Err(SendError::NoPath)) => {
                 log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream; "no node is known that reaches the upstream; its slot is returned");
                 slot.end(RunOutcome::Withheld, RunStats::default());
-                return DispatchOutcome::NotRun(NO_PATH);
+                return DispatchOutcome::NotRun(NotRunEvidence::NoPath);
             }
             Ok(Err(SendError::Broken { error, forwarder })) => {
                 log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, content:% = self.content(), error:%; "upstream broke off");
@@ -326,19 +308,19 @@
         answer: UpstreamAnswer,
     ) -> DispatchOutcome {
         let (facts, status) = (&answer.facts, answer.head.status);
-        if facts.is_misdirected || facts.is_not_run {
+        if let Some(evidence) = NotRunEvidence::in_answer(&answer) {
             let outcome = if facts.is_misdirected {
                 RunOutcome::Misdirected
             } else {
                 RunOutcome::Rejected
             };
             let is_named = !facts.request_id.is_empty();
-            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, outcome:? = outcome, is_named; "upstream did not run the request");
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, outcome:? = outcome, is_named, named_request = facts.request_id, status = status.as_u16(); "upstream did not run the request");
             let kind = if is_named { "named" } else { "unnamed" };
             self.node.metrics.count("rejections_total", kind);
             slot.end(outcome, RunStats::default());
             self.drain_answer(answer);
-            return DispatchOutcome::NotRun("rejected");
+            return DispatchOutcome::NotRun(evidence);
         }
         if status.is_success() && !facts.is_signed {
             slot.end(RunOutcome::Failed, RunStats::default());
--- a/crates/dragonflystep_edge/src/job_end.rs
+++ b/crates/dragonflystep_edge/src/job_end.rs
@@ -28,7 +28,8 @@
         if refusal.reason == RefusalReason::CrashSuspect {
             log::info!(request:% = self.facts.request_id, content:% = self.content(); "the request holds content that crashes upstreams");
         }
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), fingerprint:% = self.fingerprint_hex(), quota_units = self.quota_units, reason = reply.reason, sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), fingerprint:% = self.fingerprint_hex(), quota_units = self.quota_units, reason = reply.reason, evidence = attempts.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
+        self.count_not_run_reply(attempts);
         reply.response(&self.node, &self.facts.request_id)
     }
 
@@ -86,11 +87,18 @@
         if attempts.has_run {
             return self.fail_unknown(reason);
         }
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, held_ms = ms(self.arrived.elapsed()); "request ended without having run");
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, evidence = attempts.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), held_ms = ms(self.arrived.elapsed()); "request ended without having run");
+        self.count_not_run_reply(attempts);
         LocalReply::not_run(reason, OTHER_NODE_RETRY_AFTER)
             .response(&self.node, &self.facts.request_id)
     }
 
+    /// Counts a reply that promises that the request did not run, by the evidence for it.
+    fn count_not_run_reply(&self, attempts: &Attempts) {
+        let metrics = &self.node.metrics;
+        metrics.count("not_run_replies_total", attempts.evidence_label());
+    }
+
     /// Ends a request that may have run but has no answer.
     pub(crate) fn fail_unknown(&self, reason: &'static str) -> Response<AnswerBody> {
         let status = if reason == "timeout" {
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod metered_stream;
 mod metrics;
 mod node;
+mod not_run;
 mod owner;
 mod peer_service;
 mod platform;
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -17,6 +17,7 @@
         held_bytes::{HeldBytes, HeldChunk},
         job::{DispatchOutcome, Job, ms},
         limits::{LATE_ANSWER_MARGIN, MAX_ANSWER_BYTES, STREAM_BUFFER_CHUNKS},
+        not_run::implies_not_run,
         slots::{RunStats, Slot},
         upstream_answer::UpstreamAnswer,
     },
@@ -112,17 +113,6 @@
     }
 }
 
-/// Whether callers take a status to mean that the request did not run.
-fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 /// An upstream's stream that is being relayed to the caller.
 pub(crate) struct Relay {
     pub(crate) slot: Slot,
@@ -355,9 +345,7 @@
             outcome = sending => outcome,
             () = caller.chunks.closed() => return None,
         };
-        if outcome.is_unsent() {
-            attempts.uncount_sent();
-        }
+        attempts.record_outcome(&outcome);
         if let DispatchOutcome::Streaming(relay) = outcome {
             let upstream = attempts.last_upstream();
             let version = relay.slot.version();
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -11,6 +11,7 @@
         },
         local_reply::LocalReply,
         node::Node,
+        not_run::{NEVER_DISPATCHED, implies_not_run},
         stop::{OpenRequest, StopSignal},
     },
     bytes::{Bytes, BytesMut},
@@ -46,7 +47,11 @@
     let job = match receive_request(node, head, body, facts, arrived, open_request).await {
         Ok(job) => job,
         Err(reply) => {
-            log::info!(request:% = request_id, reason = reply.reason; "request refused");
+            log::info!(request:% = request_id, reason = reply.reason, evidence = NEVER_DISPATCHED, dispatches = 0, upstreams = ""; "request refused");
+            if implies_not_run(reply.status) {
+                let metrics = &node.metrics;
+                metrics.count("not_run_replies_total", NEVER_DISPATCHED);
+            }
             return reply.response(node, &request_id);
         }
     };
