Build replies that promise "not run" only from a proof

- `LocalReply` is built with 408, 429 or 503 only from a `NotRunProof`, and with `ErrorStatus` otherwise, which has none of these.
- A proof comes from `Undispatched`, which a job consumes, or from the record of dispatches, which gives none if any of them has no evidence.
A dispatch has none until its outcome is recorded, so that a branch that forgets to record refuses too little, never too much.
- `not_run_replies_total` is counted where the reply is made.

Reasons, messages and names are as before.

--- a/crates/dragonflystep_edge/src/attempts.rs
+++ b/crates/dragonflystep_edge/src/attempts.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         job::{DispatchOutcome, Job},
-        not_run::{NEVER_DISPATCHED, NO_EVIDENCE, NotRunEvidence},
+        not_run::{Dispatches, NotRunProof},
         slots::{Slot, acquire_slot},
     },
     dragonflystep_dispatch::{Grant, Refusal, UpstreamId, UpstreamVersion},
@@ -18,12 +18,10 @@
     pub(crate) sent: u32,
     /// Slots requested so far, whether or not they were granted.
     pub(crate) slot_requests: u32,
-    /// Whether the request may have run already.
-    pub(crate) has_run: bool,
     /// Total time spent waiting for slots.
     pub(crate) queued: Duration,
     /// The dispatches to the upstreams of all granted slots in order, including those of which nothing was sent.
-    dispatches: Vec<Dispatch>,
+    dispatches: Dispatches,
     /// Software version of the upstream whose events the caller received; none before the first event.
     pub(crate) stream_version: Option<UpstreamVersion>,
     /// When the latest event of an upstream arrived; none before the first one.
@@ -36,13 +34,6 @@
     pub(crate) has_continued: bool,
 }
 
-/// One dispatch of a request to the upstream of a slot.
-struct Dispatch {
-    upstream: UpstreamId,
-    /// What shows that it did not run; none while it may run or have run.
-    not_run: Option<NotRunEvidence>,
-}
-
 impl Attempts {
     /// Requests a slot for the next attempt.
     pub(crate) async fn request_slot(&mut self, job: &Job) -> Result<Slot, Refusal> {
@@ -56,8 +47,8 @@
 
     /// The upstream of the latest slot, even if nothing could be sent to it; empty when there is none.
     pub(crate) fn last_upstream(&self) -> &str {
-        let last = self.dispatches.last();
-        last.map_or("", |dispatch| &*dispatch.upstream)
+        let last = self.dispatches.upstreams().next_back();
+        last.map_or("", |upstream| &**upstream)
     }
 
     /// Records the time spent waiting for slots so far as a metric.
@@ -68,15 +59,17 @@
 
     /// The upstreams of all granted slots in order, which the next slot request excludes.
     pub(crate) fn upstreams(&self) -> Vec<UpstreamId> {
-        let dispatches = self.dispatches.iter();
-        dispatches
-            .map(|dispatch| dispatch.upstream.clone())
-            .collect()
+        self.dispatches.upstreams().cloned().collect()
+    }
+
+    /// Shows that the request did not run; none if it may have run.
+    pub(crate) fn not_run_proof(&self) -> Option<NotRunProof> {
+        self.dispatches.not_run_proof()
     }
 
     /// Number of dispatches, including those of which nothing was sent.
     pub(crate) fn dispatch_count(&self) -> usize {
-        self.dispatches.len()
+        self.dispatches.count()
     }
 
     /// The upstreams of all dispatches in order, for log records.
@@ -86,22 +79,7 @@
 
     /// What shows for each dispatch in order that it did not run, for log records.
     pub(crate) fn evidence_list(&self) -> String {
-        if self.dispatches.is_empty() {
-            return NEVER_DISPATCHED.to_owned();
-        }
-        let evidence = self.dispatches.iter().map(|dispatch| dispatch.not_run);
-        let labels = evidence.map(|evidence| evidence.map_or(NO_EVIDENCE, NotRunEvidence::label));
-        labels.collect::<Vec<_>>().join(",")
-    }
-
-    /// The least reliable evidence on which a reply rests that the request did not run, for metrics.
-    pub(crate) fn evidence_label(&self) -> &'static str {
-        let evidence = self.dispatches.iter().map(|dispatch| dispatch.not_run);
-        if evidence.clone().any(|evidence| evidence.is_none()) {
-            return NO_EVIDENCE;
-        }
-        let weakest = evidence.flatten().max();
-        weakest.map_or(NEVER_DISPATCHED, NotRunEvidence::label)
+        self.dispatches.evidence_list()
     }
 
     /// Records how the latest dispatch ended. Its upstream stays excluded.
@@ -109,9 +87,7 @@
         let DispatchOutcome::NotRun(evidence) = outcome else {
             return;
         };
-        if let Some(dispatch) = self.dispatches.last_mut() {
-            dispatch.not_run = Some(*evidence);
-        }
+        self.dispatches.end_not_run(*evidence);
         if evidence.is_unsent() {
             self.uncount_sent();
         }
@@ -125,10 +101,7 @@
     /// Counts an attempt at the upstream of a slot.
     pub(crate) fn count_sent(&mut self, grant: &Grant) {
         self.sent += 1;
-        self.dispatches.push(Dispatch {
-            upstream: grant.upstream.clone(),
-            not_run: None,
-        });
+        self.dispatches.begin(grant.upstream.clone());
         self.last_grant = Some(grant.clone());
     }
 }
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -106,7 +106,6 @@
                     }
                 }
                 DispatchOutcome::Unknown(reason) => {
-                    attempts.has_run = true;
                     if !self.is_repeatable() || !self.may_send_again(&attempts) {
                         break self.fail_unknown(reason);
                     }
--- a/crates/dragonflystep_edge/src/job_end.rs
+++ b/crates/dragonflystep_edge/src/job_end.rs
@@ -7,7 +7,7 @@
         burn::{FAILED, IN_TIME, LATE, REFUSED},
         job::{Job, ms},
         limits::OTHER_NODE_RETRY_AFTER,
-        local_reply::LocalReply,
+        local_reply::{ErrorStatus, LocalReply, refusal_reason},
     },
     dragonflystep_dispatch::{Refusal, RefusalReason},
     http::{Response, StatusCode},
@@ -21,15 +21,14 @@
         attempts: &Attempts,
         server_error: Option<Response<AnswerBody>>,
     ) -> Response<AnswerBody> {
-        let reply = LocalReply::from_refusal(refusal);
-        if attempts.has_run || server_error.is_some() {
-            return self.give_up(reply.reason, attempts, server_error);
-        }
+        let Some(proof) = attempts.not_run_proof() else {
+            return self.give_up(refusal_reason(refusal), attempts, server_error);
+        };
+        let reply = LocalReply::from_refusal(proof, refusal);
         if refusal.reason == RefusalReason::CrashSuspect {
             log::info!(request:% = self.facts.request_id, content:% = self.content(); "the request holds content that crashes upstreams");
         }
         log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), fingerprint:% = self.fingerprint_hex(), quota_units = self.quota_units, reason = reply.reason, evidence = attempts.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
-        self.count_not_run_reply(attempts);
         reply.response(&self.node, &self.facts.request_id)
     }
 
@@ -84,30 +83,23 @@
         if let Some(response) = server_error {
             return response;
         }
-        if attempts.has_run {
+        let Some(proof) = attempts.not_run_proof() else {
             return self.fail_unknown(reason);
-        }
+        };
         log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, evidence = attempts.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), held_ms = ms(self.arrived.elapsed()); "request ended without having run");
-        self.count_not_run_reply(attempts);
-        LocalReply::not_run(reason, OTHER_NODE_RETRY_AFTER)
+        LocalReply::not_run(proof, reason, OTHER_NODE_RETRY_AFTER)
             .response(&self.node, &self.facts.request_id)
     }
 
-    /// Counts a reply that promises that the request did not run, by the evidence for it.
-    fn count_not_run_reply(&self, attempts: &Attempts) {
-        let metrics = &self.node.metrics;
-        metrics.count("not_run_replies_total", attempts.evidence_label());
-    }
-
     /// Ends a request that may have run but has no answer.
     pub(crate) fn fail_unknown(&self, reason: &'static str) -> Response<AnswerBody> {
         let status = if reason == "timeout" {
-            StatusCode::GATEWAY_TIMEOUT
+            ErrorStatus::GatewayTimeout
         } else {
-            StatusCode::BAD_GATEWAY
+            ErrorStatus::BadGateway
         };
         log::warn!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, held_ms = ms(self.arrived.elapsed()); "request ended, it may have run");
-        LocalReply::new(status, reason).response(&self.node, &self.facts.request_id)
+        LocalReply::error(status, reason).response(&self.node, &self.facts.request_id)
     }
 
     /// Logs the final answer, records its latency and counts how the request ended.
--- a/crates/dragonflystep_edge/src/not_run.rs
+++ b/crates/dragonflystep_edge/src/not_run.rs
@@ -1,10 +1,101 @@
-//! What shows that a dispatch of a request did not run, for replies that promise it to the caller.
+//! What shows that a request did not run, for replies that promise it to the caller.
+//!
+//! Such a reply needs a [`NotRunProof`]. Only a request that is still being received and the record of the dispatches of
+//! a request give one, and the record gives none if any of its dispatches may have run.
 
 use {
-    crate::{dialect::AnswerFacts, upstream_answer::UpstreamAnswer},
+    crate::{dialect::AnswerFacts, stop::OpenRequest, upstream_answer::UpstreamAnswer},
+    dragonflystep_dispatch::UpstreamId,
     http::StatusCode,
 };
 
+/// Shows that a request did not run.
+#[derive(Debug)]
+pub(crate) struct NotRunProof {
+    /// The least reliable evidence of its dispatches; none if there were none.
+    weakest: Option<NotRunEvidence>,
+}
+
+impl NotRunProof {
+    /// The least reliable evidence in one word, for metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        self.weakest.map_or(NEVER_DISPATCHED, NotRunEvidence::label)
+    }
+}
+
+/// A request that is being received. It can't be dispatched before its job has taken the open request.
+pub(crate) struct Undispatched(OpenRequest);
+
+impl Undispatched {
+    pub(crate) fn new(open_request: OpenRequest) -> Self {
+        Self(open_request)
+    }
+
+    /// Shows that the request did not run, for the reply that ends it.
+    pub(crate) fn not_run_proof(&self) -> NotRunProof {
+        NotRunProof { weakest: None }
+    }
+
+    pub(crate) fn into_open_request(self) -> OpenRequest {
+        self.0
+    }
+}
+
+/// The dispatches of one request in order.
+#[derive(Default)]
+pub(crate) struct Dispatches(Vec<Dispatch>);
+
+/// One dispatch of a request to the upstream of a slot.
+struct Dispatch {
+    upstream: UpstreamId,
+    /// What shows that it did not run; none while it may run or have run.
+    not_run: Option<NotRunEvidence>,
+}
+
+impl Dispatches {
+    /// Records a dispatch, which may run from now on.
+    pub(crate) fn begin(&mut self, upstream: UpstreamId) {
+        self.0.push(Dispatch {
+            upstream,
+            not_run: None,
+        });
+    }
+
+    /// Records that the latest dispatch did not run.
+    pub(crate) fn end_not_run(&mut self, evidence: NotRunEvidence) {
+        if let Some(dispatch) = self.0.last_mut() {
+            dispatch.not_run = Some(evidence);
+        }
+    }
+
+    /// Shows that the request did not run; none if any of its dispatches may have run.
+    pub(crate) fn not_run_proof(&self) -> Option<NotRunProof> {
+        let evidence = self.0.iter().map(|dispatch| dispatch.not_run);
+        let evidence: Vec<_> = evidence.collect::<Option<_>>()?;
+        Some(NotRunProof {
+            weakest: evidence.into_iter().max(),
+        })
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.0.len()
+    }
+
+    pub(crate) fn upstreams(&self) -> impl DoubleEndedIterator<Item = &UpstreamId> {
+        self.0.iter().map(|dispatch| &dispatch.upstream)
+    }
+
+    /// What shows for each dispatch that it did not run, for log records.
+    pub(crate) fn evidence_list(&self) -> String {
+        if self.0.is_empty() {
+            return NEVER_DISPATCHED.to_owned();
+        }
+        let evidence = self.0.iter().map(|dispatch| dispatch.not_run);
+        let labels = evidence.map(|evidence| evidence.map_or(NO_EVIDENCE, NotRunEvidence::label));
+        labels.collect::<Vec<_>>().join(",")
+    }
+}
+
 /// What shows that one dispatch did not run, the most reliable first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum NotRunEvidence {
@@ -20,10 +111,10 @@
     Unreachable,
     /// The upstream stated in an answer with the request's id that it did not run it.
     NamedRejection,
-    /// The upstream stated it in an answer without an id.
-    UnnamedRejection,
     /// Another upstream has the address, and answered with the request's id.
     NamedMisdirection,
+    /// The upstream stated it in an answer without an id.
+    UnnamedRejection,
     /// Another upstream has the address, and answered without an id.
     UnnamedMisdirection,
 }
@@ -32,7 +123,7 @@
 pub(crate) const NEVER_DISPATCHED: &str = "never_dispatched";
 
 /// The label of a dispatch that may have run.
-pub(crate) const NO_EVIDENCE: &str = "none";
+const NO_EVIDENCE: &str = "none";
 
 impl NotRunEvidence {
     /// What an answer that was claimed for the request states; none if the request may have run.
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -9,17 +9,17 @@
         limits::{
             DEFAULT_TIME_LEFT, MEMORY_RETRY_AFTER, NO_REGION_RETRY_AFTER, OTHER_NODE_RETRY_AFTER,
         },
-        local_reply::LocalReply,
+        local_reply::{ErrorStatus, LocalReply},
         node::Node,
-        not_run::{NEVER_DISPATCHED, implies_not_run},
-        stop::{OpenRequest, StopSignal},
+        not_run::{NEVER_DISPATCHED, Undispatched},
+        stop::StopSignal,
     },
     bytes::{Bytes, BytesMut},
     dragonflystep_dispatch::{
         Account, ContentKey, DataCentreName, PromptSegment, QuotaUnit, RouteKind, RouteMatch,
         RoutingError,
     },
-    http::{Request, Response, StatusCode, Version, request::Parts},
+    http::{Request, Response, Version, request::Parts},
     http_body_util::BodyExt,
     hyper::body::{Body as _, Incoming},
     std::rc::Rc,
@@ -33,25 +33,21 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let arrived = Instant::now();
-    let open_request = StopSignal::open_request(node);
+    let undispatched = Undispatched::new(StopSignal::open_request(node));
     let (head, body) = request.into_parts();
     let facts = match node.dialect.read_request(&head.uri, &head.headers) {
         Ok(facts) => facts,
         Err(error) => {
             log::info!(error:%; "rejected the head of a request");
-            let reply = LocalReply::new(StatusCode::BAD_REQUEST, "bad_request");
+            let reply = LocalReply::error(ErrorStatus::BadRequest, "bad_request");
             return reply.response(node, "");
         }
     };
     let request_id = facts.request_id.clone();
-    let job = match receive_request(node, head, body, facts, arrived, open_request).await {
+    let job = match receive_request(node, head, body, facts, arrived, undispatched).await {
         Ok(job) => job,
         Err(reply) => {
             log::info!(request:% = request_id, reason = reply.reason, evidence = NEVER_DISPATCHED, dispatches = 0, upstreams = ""; "request refused");
-            if implies_not_run(reply.status) {
-                let metrics = &node.metrics;
-                metrics.count("not_run_replies_total", NEVER_DISPATCHED);
-            }
             return reply.response(node, &request_id);
         }
     };
@@ -68,13 +64,21 @@
     body: Incoming,
     facts: RequestFacts,
     arrived: Instant,
-    open_request: OpenRequest,
+    undispatched: Undispatched,
 ) -> Result<Rc<Job>, LocalReply> {
     let Some(table) = node.views.catalogue() else {
-        return Err(LocalReply::not_run("starting", OTHER_NODE_RETRY_AFTER));
+        return Err(LocalReply::not_run(
+            undispatched.not_run_proof(),
+            "starting",
+            OTHER_NODE_RETRY_AFTER,
+        ));
     };
     if node.stop.refuses_new() {
-        return Err(LocalReply::not_run("stopping", OTHER_NODE_RETRY_AFTER));
+        return Err(LocalReply::not_run(
+            undispatched.not_run_proof(),
+            "stopping",
+            OTHER_NODE_RETRY_AFTER,
+        ));
     }
     let resolved = table
         .find(
@@ -84,22 +88,24 @@
             rand::random(),
         )
         .map_err(|error| match error {
-            RoutingError::NoRoute => LocalReply::new(StatusCode::NOT_FOUND, "no_route"),
-            RoutingError::UnknownKey => LocalReply::new(StatusCode::UNAUTHORIZED, "unknown_key"),
+            RoutingError::NoRoute => LocalReply::error(ErrorStatus::NotFound, "no_route"),
+            RoutingError::UnknownKey => LocalReply::error(ErrorStatus::Unauthorized, "unknown_key"),
         })?;
     let is_stream = matches!(resolved.route.kind, RouteKind::Stream { .. });
     if is_stream && head.version < Version::HTTP_11 {
         // Without chunks the caller could not tell a stream that broke off from a whole one.
-        return Err(LocalReply::new(
-            StatusCode::HTTP_VERSION_NOT_SUPPORTED,
+        return Err(LocalReply::error(
+            ErrorStatus::HttpVersionNotSupported,
             "http_version",
         ));
     }
-    let allowed_data_centres = allowed_data_centres(node, &resolved, &facts.request_id)?;
+    let allowed_data_centres =
+        allowed_data_centres(node, &resolved, &facts.request_id, &undispatched)?;
     let time_left = facts.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let deadline = arrived + time_left.min(resolved.route.timeout);
     let limits = table.catalogue().limits;
-    let (body, held_body) = read_body(node, body, limits.max_body_bytes, deadline).await?;
+    let (body, held_body) =
+        read_body(node, body, limits.max_body_bytes, deadline, &undispatched).await?;
     let key = facts.key.as_deref().unwrap_or("");
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let hashes = [
@@ -128,7 +134,7 @@
         tier,
         allowed_data_centres,
         _held_body: held_body,
-        _open_request: open_request,
+        _open_request: undispatched.into_open_request(),
     }))
 }
 
@@ -140,6 +146,7 @@
     node: &Node,
     resolved: &RouteMatch,
     request_id: &str,
+    undispatched: &Undispatched,
 ) -> Result<Option<Vec<DataCentreName>>, LocalReply> {
     let Some(regions) = resolved.allowed_regions() else {
         return Ok(None);
@@ -150,6 +157,7 @@
         let account = account.map_or("", |account| &account.name);
         log::warn!(request = request_id, route:% = resolved.route.name, account, regions:? = regions; "no data centre may process the request");
         return Err(LocalReply::not_run(
+            undispatched.not_run_proof(),
             "no_permitted_region",
             NO_REGION_RETRY_AFTER,
         ));
@@ -174,20 +182,21 @@
     body: Incoming,
     max_bytes: usize,
     deadline: Instant,
+    undispatched: &Undispatched,
 ) -> Result<(Bytes, Option<Hold>), LocalReply> {
     let expected_bytes = body.size_hint().lower();
     if expected_bytes > max_bytes as u64 {
         return Err(too_large());
     }
-    let reading = timeout_at(deadline, read_frames(node, body, max_bytes));
+    let reading = timeout_at(deadline, read_frames(node, body, max_bytes, undispatched));
     match reading.await {
         Ok(read) => read,
-        Err(_) => Err(LocalReply::new(StatusCode::REQUEST_TIMEOUT, "slow_body")),
+        Err(_) => Err(LocalReply::slow_body(undispatched.not_run_proof())),
     }
 }
 
 fn too_large() -> LocalReply {
-    LocalReply::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large")
+    LocalReply::error(ErrorStatus::PayloadTooLarge, "body_too_large")
 }
 
 /// Reads the frames of a body. If there is no room for it, the rest is read and discarded before the request is refused:
@@ -196,6 +205,7 @@
     node: &Node,
     mut body: Incoming,
     max_bytes: usize,
+    undispatched: &Undispatched,
 ) -> Result<(Bytes, Option<Hold>), LocalReply> {
     let mut bytes = BytesMut::new();
     let mut held: Option<Hold> = None;
@@ -203,7 +213,7 @@
     let mut has_room = true;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            return Err(LocalReply::new(StatusCode::BAD_REQUEST, "broken_body"));
+            return Err(LocalReply::error(ErrorStatus::BadRequest, "broken_body"));
         };
         let Ok(data) = frame.into_data() else {
             continue;
@@ -226,7 +236,11 @@
         bytes.extend_from_slice(&data);
     }
     if !has_room {
-        return Err(LocalReply::not_run("memory_used_up", MEMORY_RETRY_AFTER));
+        return Err(LocalReply::not_run(
+            undispatched.not_run_proof(),
+            "memory_used_up",
+            MEMORY_RETRY_AFTER,
+        ));
     }
     Ok((bytes.freeze(), held))
 }
