Do not take an answer that bears marks of a run for a rejection

Cause: the header Not-Executed or status 421 alone counted, whatever else the head said. Stray bytes that end inside a head line join the head of the right answer, which then carries the request's id, its signature and Not-Executed at once.

--- a/crates/dragonflystep_edge/src/upstream_answer.rs
+++ b/crates/dragonflystep_edge/src/upstream_answer.rs
@@ -57,7 +57,8 @@
         }
     }
 
-    /// Claims the answer for a caller's request. Without its id, only a rejection is accepted.
+    /// Claims the answer for a caller's request. Without its id, only a rejection is accepted. A rejection that also bears
+    /// marks of a run is not accepted: heads of two answers may have been joined.
     pub(crate) fn claim_for_request(
         self,
         node: &Node,
@@ -65,8 +66,12 @@
     ) -> Result<UpstreamAnswer, ForeignAnswer> {
         let mut answer = self.read_head(node);
         let facts = &answer.facts;
+        let is_rejection = facts.is_not_run || facts.is_misdirected;
+        let has_marks_of_run = facts.is_signed || facts.is_success;
+        if is_rejection && has_marks_of_run {
+            return answer.accept_if(false, node, "contradiction");
+        }
         let is_own = if facts.request_id.is_empty() {
-            let is_rejection = facts.is_not_run || facts.is_misdirected;
             answer.connection.note_unnamed_answer() && is_rejection
         } else {
             facts.request_id == request_id
