Count a request as unsent only if no byte of it was written

The connection now counts the bytes that were written itself. A request that the library returns although bytes left counts as one that may have run, with an error in the log. No test brings this about: it needs a fault of the library.

--- a/crates/dragonflystep_edge/src/metered_stream.rs
+++ b/crates/dragonflystep_edge/src/metered_stream.rs
@@ -1,6 +1,7 @@
-//! A connection to an upstream that stops reading bytes of which nothing reaches the reader of the answer.
+//! A connection to an upstream that counts the bytes written to it, and stops reading bytes of which nothing reaches the reader
+//! of the answer.
 //!
-//! The HTTP library limits the length of a head, but it skips any number of interim heads and accepts chunk sizes of any
+//! Whether a request was sent is known from the written bytes, not from the HTTP library alone. That library limits the length of a head, but it skips any number of interim heads and accepts chunk sizes of any
 //! length. An upstream in trouble may send such bytes without end.
 
 use {
@@ -16,33 +17,50 @@
     tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
-/// Bytes that were read from a connection since its reader last received a head or a part of a body.
-#[derive(Clone, Default)]
-pub(crate) struct UndeliveredBytes(Rc<Cell<usize>>);
+/// Counts of the bytes of a connection.
+#[derive(Default)]
+pub(crate) struct StreamMeter {
+    /// Bytes that were read since the reader last received a head or a part of a body.
+    undelivered_bytes: Cell<usize>,
+    written_bytes: Cell<u64>,
+}
 
-impl UndeliveredBytes {
+impl StreamMeter {
     /// Records that a request was sent, or that something of its answer reached the reader.
-    pub(crate) fn reset(&self) {
-        self.0.set(0);
+    pub(crate) fn note_delivery(&self) {
+        self.undelivered_bytes.set(0);
+    }
+
+    /// Bytes that were written so far.
+    pub(crate) fn written_bytes(&self) -> u64 {
+        self.written_bytes.get()
+    }
+
+    fn record_write(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(count)) = poll {
+            self.written_bytes
+                .set(self.written_bytes.get() + count as u64);
+        }
+        poll
     }
 }
 
-/// A connection whose reads fail once [`MAX_UNDELIVERED_BYTES`] were read in vain.
+/// A connection whose bytes are counted. Its reads fail once [`MAX_UNDELIVERED_BYTES`] were read in vain.
 pub(crate) struct MeteredStream {
     inner: Box<dyn NetworkStream>,
-    undelivered: UndeliveredBytes,
+    meter: Rc<StreamMeter>,
     metrics: Rc<Metrics>,
 }
 
 impl MeteredStream {
     pub(crate) fn new(
         inner: Box<dyn NetworkStream>,
-        undelivered: UndeliveredBytes,
+        meter: Rc<StreamMeter>,
         metrics: Rc<Metrics>,
     ) -> Self {
         Self {
             inner,
-            undelivered,
+            meter,
             metrics,
         }
     }
@@ -54,8 +72,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let undelivered = &self.undelivered.0;
-        if undelivered.get() >= MAX_UNDELIVERED_BYTES {
+        if self.meter.undelivered_bytes.get() >= MAX_UNDELIVERED_BYTES {
             self.metrics.count("endless_answers_total", "no_content");
             return Poll::Ready(Err(io::Error::other(
                 "the upstream sends bytes without end that hold nothing of an answer",
@@ -64,7 +81,7 @@
         let before = buffer.filled().len();
         let poll = Pin::new(&mut self.inner).poll_read(context, buffer);
         let received = buffer.filled().len() - before;
-        let undelivered = &self.undelivered.0;
+        let undelivered = &self.meter.undelivered_bytes;
         undelivered.set(undelivered.get() + received);
         poll
     }
@@ -76,7 +93,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let poll = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.meter.record_write(poll)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -96,6 +114,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+        let poll = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
+        self.meter.record_write(poll)
     }
 }
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -6,7 +6,7 @@
             DEFAULT_KEEP_ALIVE, MAX_ANSWER_HEAD_BYTES, MAX_HEADER_LINES, MAX_IDLE_CONNECTIONS,
             USABLE_KEEP_ALIVE_SHARE,
         },
-        metered_stream::{MeteredStream, UndeliveredBytes},
+        metered_stream::{MeteredStream, StreamMeter},
         metrics::Metrics,
         node::Node,
         upstream_answer::UnclaimedAnswer,
@@ -66,7 +66,7 @@
     forwarder: Option<Forwarder>,
     /// When it was opened, until it has carried an answer.
     unproved_since: Option<MonotonicTime>,
-    undelivered: UndeliveredBytes,
+    meter: Rc<StreamMeter>,
     /// Whether it has carried an answer that names no request.
     has_unnamed_answer: bool,
 }
@@ -79,7 +79,7 @@
 
     /// Records that a part of an answer reached its reader.
     pub(crate) fn note_delivery(&self) {
-        self.undelivered.reset();
+        self.meter.note_delivery();
     }
 
     /// Records that an answer names no request. Returns whether it is the first such answer of the connection.
@@ -256,18 +256,26 @@
         request: Request<Full<Bytes>>,
     ) -> Result<UnclaimedAnswer, TrySendError> {
         connection.note_delivery();
+        let written_before = connection.meter.written_bytes();
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.note_delivery();
                 Ok(UnclaimedAnswer::new(response, connection))
             }
-            Err(mut error) => Err(match error.take_message() {
-                Some(unsent) => TrySendError::Unsent(Box::new(unsent)),
-                None => TrySendError::Broken {
+            Err(mut error) => {
+                let unsent = error.take_message();
+                let written_bytes = connection.meter.written_bytes() - written_before;
+                if let Some(unsent) = unsent {
+                    if written_bytes == 0 {
+                        return Err(TrySendError::Unsent(Box::new(unsent)));
+                    }
+                    log::error!(address = connection.address, written_bytes; "a request counts as sent although the HTTP library returned it");
+                }
+                Err(TrySendError::Broken {
                     error: error.into_error(),
                     forwarder: connection.forwarder,
-                },
-            }),
+                })
+            }
         }
     }
 }
@@ -289,8 +297,8 @@
     dialed: Dialed,
     metrics: Rc<Metrics>,
 ) -> io::Result<OpenConnection> {
-    let undelivered = UndeliveredBytes::default();
-    let stream = MeteredStream::new(dialed.stream, undelivered.clone(), metrics);
+    let meter = Rc::<StreamMeter>::default();
+    let stream = MeteredStream::new(dialed.stream, meter.clone(), metrics);
     let (sender, connection) = Builder::new()
         .title_case_headers(true)
         .max_buf_size(MAX_ANSWER_HEAD_BYTES)
@@ -308,7 +316,7 @@
         sender,
         forwarder: dialed.forwarder,
         unproved_since: Some(dialed.opened_at),
-        undelivered,
+        meter,
         has_unnamed_answer: false,
     })
 }
