Accept a rejection only where no earlier one of its connection can be mistaken for it

Cause: a rejection without an id counted on any connection whose earlier answers were all named. Upstreams may send bytes that belong to no request, and one that takes the rest of a body for a request answers 400 without an id: both look like that. A rejection with the id counted although the same id had been rejected on that connection before, so that a late copy of the first rejection answered the second sending.

Change: an answer without an id is accepted only for the first call of its connection, and a connection is not used again for a request that was rejected on it (it is closed after 64 rejections, which it remembers as hashes).

The class is that of late copies of rejections: evidence of another call is used. Ruled out by tests that passed all along: requests counted as unsent, connections that end, statuses without the header, forwarders and entry nodes that end.

Cost: a rejection without an id on a kept connection is answered 502 where the request may run once only.

--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -166,7 +166,7 @@
     }
     let allowed = job.allowed_data_centres.as_deref();
     let answered = node
-        .send_upstream(&source.address, request, allowed)
+        .send_upstream(&source.address, "", request, allowed)
         .await?;
     let mut answer = match answered.claim_for_call(node) {
         Ok(answer) => answer,
--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -245,7 +245,9 @@
         let time_limit = self.time_left() + LATE_ANSWER_MARGIN;
         let sent_at = Instant::now();
         let allowed = self.allowed_data_centres.as_deref();
-        let sending = self.node.send_upstream(&address, request, allowed);
+        let sending = self
+            .node
+            .send_upstream(&address, &self.facts.request_id, request, allowed);
         let answered = match timeout(time_limit, sending).await {
             Ok(Ok(answered)) => answered,
             Ok(Err(SendError::NotSent(error))) => {
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -13,6 +13,9 @@
 /// Maximum number of idle connections kept per upstream; about as many as requests run there at once.
 pub(crate) const MAX_IDLE_CONNECTIONS: usize = 8;
 
+/// Rejections after which a connection to an upstream is closed, since it remembers the rejected requests.
+pub(crate) const MAX_REJECTIONS_PER_CONNECTION: usize = 64;
+
 /// Mean time between two gossip exchanges with a neighbour. Nodes of a large system wait twice as long.
 pub(crate) const EXCHANGE_INTERVAL: Duration = Duration::from_millis(400);
 
--- a/crates/dragonflystep_edge/src/upstream_answer.rs
+++ b/crates/dragonflystep_edge/src/upstream_answer.rs
@@ -2,8 +2,10 @@
 //!
 //! An upstream may send an answer a second time, late: where the answer to the next call of that connection is expected.
 //! So nothing that an answer states is used before it is claimed for the call that waits. An answer that names a request
-//! belongs to that one alone. One that names none can only be told from a late copy if no earlier answer of its connection
-//! lacked a name either, so that a connection is not used again after such an answer.
+//! belongs to that one alone. One that names none belongs to a request only if no other call was sent on its connection; an
+//! upstream may also send answers that belong to no call. The answers to the node's own calls name no request: one of them is
+//! told from a late copy if no earlier answer of its connection lacked a name, so that a connection is not used again after
+//! such an answer.
 
 use {
     crate::{
@@ -57,8 +59,8 @@
         }
     }
 
-    /// Claims the answer for a caller's request. Without its id, only a rejection is accepted. A rejection that also bears
-    /// marks of a run is not accepted: heads of two answers may have been joined.
+    /// Claims the answer for a caller's request. Without its id, only a rejection of the first call of a connection is
+    /// accepted. A rejection that also bears marks of a run is not accepted: heads of two answers may have been joined.
     pub(crate) fn claim_for_request(
         self,
         node: &Node,
@@ -72,10 +74,14 @@
             return answer.accept_if(false, node, "contradiction");
         }
         let is_own = if facts.request_id.is_empty() {
-            answer.connection.note_unnamed_answer() && is_rejection
+            answer.connection.note_unnamed_answer();
+            is_rejection && answer.connection.is_first_call()
         } else {
             facts.request_id == request_id
         };
+        if is_own && is_rejection {
+            answer.connection.note_rejection(request_id);
+        }
         answer.accept_if(is_own, node, "request")
     }
 
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -4,7 +4,7 @@
     crate::{
         limits::{
             DEFAULT_KEEP_ALIVE, MAX_ANSWER_HEAD_BYTES, MAX_HEADER_LINES, MAX_IDLE_CONNECTIONS,
-            USABLE_KEEP_ALIVE_SHARE,
+            MAX_REJECTIONS_PER_CONNECTION, USABLE_KEEP_ALIVE_SHARE,
         },
         metered_stream::{MeteredStream, StreamMeter},
         metrics::Metrics,
@@ -20,6 +20,7 @@
     hyper_util::rt::TokioIo,
     std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration},
     tokio::{task::spawn_local, time::Instant},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Why a request received no answer.
@@ -67,8 +68,12 @@
     /// When it was opened, until it has carried an answer.
     unproved_since: Option<MonotonicTime>,
     meter: Rc<StreamMeter>,
+    /// Calls that were sent on it, the one in progress included.
+    calls: u32,
     /// Whether it has carried an answer that names no request.
     has_unnamed_answer: bool,
+    /// Hashes of the ids of the requests that were rejected on it.
+    rejected_requests: Vec<u64>,
 }
 
 impl OpenConnection {
@@ -87,6 +92,30 @@
         !std::mem::replace(&mut self.has_unnamed_answer, true)
     }
 
+    /// Whether the call in progress is the first one, so that no late answer to another call can arrive.
+    pub(crate) fn is_first_call(&self) -> bool {
+        self.calls == 1
+    }
+
+    /// Records that the upstream rejected a request on this connection.
+    pub(crate) fn note_rejection(&mut self, request_id: &str) {
+        self.rejected_requests.push(xxh3_64(request_id.as_bytes()));
+    }
+
+    /// Whether a request was rejected on this connection. If it were sent here again, a late copy of that rejection could not
+    /// be told from an answer to it.
+    fn has_rejected(&self, request_id: &str) -> bool {
+        let hash = xxh3_64(request_id.as_bytes());
+        self.rejected_requests.contains(&hash)
+    }
+
+    /// Whether it may carry another call after the present one.
+    fn is_reusable(&self) -> bool {
+        !self.sender.is_closed()
+            && !self.has_unnamed_answer
+            && self.rejected_requests.len() < MAX_REJECTIONS_PER_CONNECTION
+    }
+
     /// The node through which the upstream is reached; none if it is reached directly.
     pub(crate) fn forwarder(&self) -> Option<&Forwarder> {
         self.forwarder.as_ref()
@@ -113,10 +142,10 @@
 
 impl UpstreamConnections {
     /// Returns a connection to the pool after its answer was read whole. It stays usable for a part of the idle time
-    /// that the upstream permits, or of a default. It is closed instead if its answer named no request: a second copy of
-    /// that answer could not be told from the next one.
+    /// that the upstream permits, or of a default. It is closed instead if its answer named no request, as a second copy of
+    /// that answer could not be told from the next one, or if it has carried too many rejections to remember.
     pub(crate) fn keep(&self, connection: OpenConnection, keep_alive: Option<Duration>) {
-        if connection.sender.is_closed() || connection.has_unnamed_answer {
+        if !connection.is_reusable() {
             return;
         }
         let idle_time = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
@@ -181,16 +210,20 @@
 
 impl Node {
     /// Sends a request on an idle connection or, if there is none that still works, on a new one. If the connection goes
-    /// through another node, that node is in one of the data centres `allowed`, if there are any.
+    /// through another node, that node is in one of the data centres `allowed`, if there are any. `request_id` is empty for
+    /// the node's own calls.
     pub(crate) async fn send_upstream(
         self: &Rc<Self>,
         address: &str,
+        request_id: &str,
         mut request: Request<Full<Bytes>>,
         allowed: Option<&[DataCentreName]>,
     ) -> Result<UnclaimedAnswer, SendError> {
-        let may_use = |connection: &OpenConnection| match connection.forwarder() {
-            None => true,
-            Some(forwarder) => self.may_use_forwarder(forwarder, allowed),
+        let may_use = |connection: &OpenConnection| {
+            let is_permitted = connection
+                .forwarder()
+                .is_none_or(|forwarder| self.may_use_forwarder(forwarder, allowed));
+            is_permitted && !connection.has_rejected(request_id)
         };
         while let Some(connection) = self.connections.take_idle(address, may_use) {
             match self.try_send(connection, request).await {
@@ -256,6 +289,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<UnclaimedAnswer, TrySendError> {
         connection.note_delivery();
+        connection.calls += 1;
         let written_before = connection.meter.written_bytes();
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
@@ -317,6 +351,8 @@
         forwarder: dialed.forwarder,
         unproved_since: Some(dialed.opened_at),
         meter,
+        calls: 0,
         has_unnamed_answer: false,
+        rejected_requests: Vec::new(),
     })
 }
--- a/crates/dragonflystep_edge/src/upstream_health.rs
+++ b/crates/dragonflystep_edge/src/upstream_health.rs
@@ -148,7 +148,7 @@
     async fn send(&self, node: &Rc<Node>) -> Result<bool, HealthError> {
         let sent_at = Instant::now();
         let answered = node
-            .send_upstream(&self.address, self.request()?, None)
+            .send_upstream(&self.address, "", self.request()?, None)
             .await?;
         self.finish(node, sent_at, answered).await
     }
