Play many nodes near the limit of a small service as processes

`dragonflystep overload` runs 63 nodes as processes before 3 plain upstreams with slots and queues and 140 that stream, near the limit of the plain service, with overlapping troubles drawn from a seed, and compares what callers were told with what upstreams ran.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,6 +13,7 @@
 mod fake;
 mod node;
 mod output;
+mod overload;
 mod report;
 mod soak;
 
@@ -45,6 +46,7 @@
     Experiment(experiment::ExperimentCommand),
     Explain(explain::ExplainCommand),
     Fake(fake::FakeCommand),
+    Overload(overload::OverloadCommand),
     Soak(soak::SoakCommand),
 }
 
@@ -85,6 +87,7 @@
         Command::Experiment(command) => command.run(),
         Command::Explain(command) => command.run(),
         Command::Fake(command) => block_on_runtime(command.run()),
+        Command::Overload(command) => command.run(),
         Command::Soak(command) => command.run(),
     };
     match result {
