--- a/crates/dragonflystep_edge/src/logs.rs
+++ b/crates/dragonflystep_edge/src/logs.rs
@@ -30,6 +30,9 @@
 /// Most batches that wait for a slow output; further ones are dropped.
 const MAX_WAITING_BATCHES: usize = 8;
 
+/// Longest time for which [`LogBuffer::finish`] waits for a slow output.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Prefix of the log targets of this project's crates. Of other crates, only warnings and errors are logged.
 const OWN_TARGET_PREFIX: &str = "dragonflystep";
 
@@ -47,11 +50,18 @@
     dropped: u64,
 }
 
+/// What the writing thread is given.
+enum Batch {
+    Lines(String),
+    /// The end of the log; the sender is dropped once all batches before it are written.
+    End(SyncSender<()>),
+}
+
 /// Collects log lines and hands them to the writing thread in batches.
 #[derive(Clone)]
 pub struct LogBuffer {
     lines: Arc<Mutex<PendingLines>>,
-    batches: SyncSender<String>,
+    batches: SyncSender<Batch>,
 }
 
 /// Starts the log of this process; each line contains the name of the node.
@@ -111,11 +121,22 @@
             batch.push_str(&json!({"message": "log lines left out", "lines": dropped}).to_string());
             batch.push('\n');
         }
-        if self.batches.try_send(batch).is_err() {
+        if self.batches.try_send(Batch::Lines(batch)).is_err() {
             lines.dropped = dropped + u64::from(count);
         }
     }
 
+    /// Hands collected lines to the writing thread and waits until they are written, for a limited time. Blocks the
+    /// thread; to be called when the process ends, as lines that the writing thread still holds are lost then.
+    pub fn finish(&self) {
+        self.flush();
+        let (end, ended) = sync_channel(0);
+        if self.batches.try_send(Batch::End(end)).is_ok() {
+            // Both the end and the timeout let the process go on to exit.
+            let _ = ended.recv_timeout(FINISH_TIMEOUT);
+        }
+    }
+
     fn push(&self, node: &str, record: &Record<'_>) {
         let now = SystemTime::now()
             .duration_since(SystemTime::UNIX_EPOCH)
@@ -139,12 +160,17 @@
     }
 }
 
-fn write_batches(batches: &Receiver<String>) {
+fn write_batches(batches: &Receiver<Batch>) {
     let mut output = std::io::stdout();
     while let Ok(batch) = batches.recv() {
-        // Lines are lost if the output is closed; the node keeps running.
-        let _ = output.write_all(batch.as_bytes());
-        let _ = output.flush();
+        match batch {
+            Batch::Lines(lines) => {
+                // Lines are lost if the output is closed; the node keeps running.
+                let _ = output.write_all(lines.as_bytes());
+                let _ = output.flush();
+            }
+            Batch::End(ended) => drop(ended),
+        }
     }
 }
 
--- a/src/cli/edge.rs
+++ b/src/cli/edge.rs
@@ -42,7 +42,7 @@
             result
         };
         let result = LocalSet::new().block_on(&runtime, node);
-        log.flush();
+        log.finish();
         Ok(result?)
     }
 }
