Answer callers that connect to a stopping node, then refuse them

Cause: 2.8 s after SIGTERM a node closes its connections, but it went on listening until it ended. The HTTP library closes a connection that has received nothing without reading it, so each connection opened from then on, or just before, was closed while its request was on its way. A stop that waits for long requests did the same for up to 4.8 s.

Change: the listener for callers is closed at that moment, after the connections that the kernel holds have been accepted, so that later callers are refused and turn to another node. A connection without a request is kept 500 ms. A stop waits for the listener and for accepted connections whose task has not begun.

--- a/crates/dragonflystep_edge/src/connection_io.rs
+++ b/crates/dragonflystep_edge/src/connection_io.rs
@@ -29,6 +29,8 @@
     pub(crate) active_at: Cell<Instant>,
     /// When the first bytes of a still incomplete head arrived; none otherwise.
     pub(crate) head_started_at: Cell<Option<Instant>>,
+    /// Whether any bytes were received.
+    pub(crate) has_received: Cell<bool>,
     /// Whether a request is being served.
     pub(crate) is_serving: Cell<bool>,
 }
@@ -38,6 +40,7 @@
         Rc::new(Self {
             active_at: Cell::new(Instant::now()),
             head_started_at: Cell::new(None),
+            has_received: Cell::new(false),
             is_serving: Cell::new(false),
         })
     }
@@ -85,6 +88,7 @@
     fn check_received(&mut self, bytes: &[u8]) -> usize {
         let now = Instant::now();
         self.times.active_at.set(now);
+        self.times.has_received.set(true);
         let Err(rejected) = self.check.feed(bytes) else {
             let started_at = self.check.is_in_head().then(|| {
                 let before = self.times.head_started_at.get();
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -105,6 +105,10 @@
 /// addresses, so that no caller is refused before it can have learned that the node is leaving.
 pub(crate) const STOP_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
 
+/// Time for which a stopping node waits for the first request on an open connection once it accepts no more of them.
+/// Callers send a request as soon as their connection is open.
+pub(crate) const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
 /// Time reserved at the end of the grace period for the last steps of the shutdown.
 pub(crate) const STOP_MARGIN: Duration = Duration::from_millis(400);
 
--- a/crates/dragonflystep_edge/src/server.rs
+++ b/crates/dragonflystep_edge/src/server.rs
@@ -4,10 +4,10 @@
     crate::{
         answer::AnswerBody,
         connection_io::{CheckedConnection, ConnectionTimes},
-        limits::MAX_HEADER_LINES,
+        limits::{FIRST_REQUEST_WAIT, MAX_HEADER_LINES},
         node::Node,
         request::serve_request,
-        stop::StopSignal,
+        stop::{OpenConnectionGuard, StopSignal},
     },
     bytes::Bytes,
     dragonflystep_dispatch::ClientLimits,
@@ -38,14 +38,23 @@
 
 /// Accepts and serves the connections of one listener for as long as the node runs. Connections beyond the configured
 /// number are closed at once.
+///
+/// The listener for callers is closed in a planned stop, once the node closes its connections. Callers that connect later
+/// are refused, and turn to another node.
 pub(crate) async fn serve_listener(
     node: Rc<Node>,
     mut listener: Box<dyn NetworkListener>,
     kind: ListenerKind,
 ) {
+    let is_ingress = kind == ListenerKind::Ingress;
+    let _open_listener = is_ingress.then(|| StopSignal::open_listener(&node));
     let open_connections = Rc::new(Cell::new(0_usize));
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = connections_are_closing(&node), if is_ingress => break,
+        };
+        let stream = match accepted {
             Ok(stream) => stream,
             Err(error) => {
                 log::warn!(door:? = kind, error:%; "can't accept a connection");
@@ -53,16 +62,48 @@
                 continue;
             }
         };
-        if open_connections.get() >= node.settings.max_client_connections {
-            node.metrics.count("connections_refused_total", "too_many");
-            continue;
-        }
-        let (node, open_connections) = (node.clone(), open_connections.clone());
-        spawn_local(async move {
-            open_connections.set(open_connections.get() + 1);
-            serve_connection(node, stream, kind).await;
-            open_connections.set(open_connections.get() - 1);
-        });
+        spawn_connection(&node, stream, kind, &open_connections);
+    }
+    let waiting = listener.close();
+    log::info!(waiting = waiting.len(); "callers are no longer accepted");
+    for stream in waiting {
+        spawn_connection(&node, stream, kind, &open_connections);
+    }
+}
+
+/// Serves a new connection in a task of its own, unless there are too many.
+fn spawn_connection(
+    node: &Rc<Node>,
+    stream: Box<dyn NetworkStream>,
+    kind: ListenerKind,
+    open_connections: &Rc<Cell<usize>>,
+) {
+    if open_connections.get() >= node.settings.max_client_connections {
+        node.metrics.count("connections_refused_total", "too_many");
+        return;
+    }
+    let guard = (kind == ListenerKind::Ingress).then(|| StopSignal::open_connection(node));
+    let (node, open_connections) = (node.clone(), open_connections.clone());
+    spawn_local(async move {
+        open_connections.set(open_connections.get() + 1);
+        serve_connection(node, stream, kind, guard).await;
+        open_connections.set(open_connections.get() - 1);
+    });
+}
+
+/// Waits until a planned stop closes connections.
+async fn connections_are_closing(node: &Node) {
+    let mut closing = node.stop.closing();
+    // Fails only once the node is dropped.
+    let _ = closing.wait_for(|is_closing| *is_closing).await;
+}
+
+/// Waits until a planned stop closes a connection. The HTTP library closes one that has received nothing without reading the
+/// request that may be on its way.
+async fn connection_is_closing(node: &Node, times: &ConnectionTimes) {
+    connections_are_closing(node).await;
+    if !times.has_received.get() {
+        sleep(FIRST_REQUEST_WAIT).await;
     }
 }
 
@@ -75,9 +116,12 @@
 /// Serves one connection until it ends. A head that takes too long closes it at once; an idle timeout or the stop of
 /// the node closes it after the answer in progress. A second idle timeout, in which nothing of that answer was taken, closes
 /// it as well.
-async fn serve_connection(node: Rc<Node>, stream: Box<dyn NetworkStream>, kind: ListenerKind) {
-    let _open_connection =
-        (kind == ListenerKind::Ingress).then(|| StopSignal::open_connection(&node));
+async fn serve_connection(
+    node: Rc<Node>,
+    stream: Box<dyn NetworkStream>,
+    kind: ListenerKind,
+    _open_connection: Option<OpenConnectionGuard>,
+) {
     let times = ConnectionTimes::new();
     let io = CheckedConnection::new(stream, times.clone());
     let service = service_fn(|request| {
@@ -91,12 +135,9 @@
         .title_case_headers(true)
         .serve_connection(io, service);
     let mut connection = pin!(connection);
-    let mut closing = node.stop.closing();
+    let mut closing = pin!(connection_is_closing(&node, &times));
     let mut timed_out_at = None;
-    let mut is_closing = *closing.borrow_and_update();
-    if is_closing {
-        connection.as_mut().graceful_shutdown();
-    }
+    let mut is_closing = false;
     loop {
         let (deadline, is_head_timeout) = next_deadline(&node, &times);
         tokio::select! {
@@ -129,7 +170,7 @@
                 times.active_at.set(now);
                 timed_out_at = Some(now);
             }
-            _ = closing.changed(), if !is_closing => {
+            () = closing.as_mut(), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/crates/dragonflystep_edge/src/stop.rs
+++ b/crates/dragonflystep_edge/src/stop.rs
@@ -26,6 +26,8 @@
     open_requests: Cell<usize>,
     /// Connections of callers. An answer is written for as long as its caller takes to read it, after its request has ended.
     open_connections: Cell<usize>,
+    /// Listeners for callers, which may hold connections that are not accepted yet.
+    open_listeners: Cell<usize>,
     closing: watch::Sender<bool>,
 }
 
@@ -35,6 +37,7 @@
             since: Cell::new(None),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
+            open_listeners: Cell::new(0),
             closing: watch::channel(false).0,
         }
     }
@@ -71,9 +74,21 @@
         OpenConnectionGuard(node.clone())
     }
 
-    /// Whether requests are open, or connections on which answers may still be written.
+    /// Counts a listener for callers as open until the returned guard is dropped.
+    pub(crate) fn open_listener(node: &Rc<Node>) -> OpenListenerGuard {
+        let open = &node.stop.open_listeners;
+        open.set(open.get() + 1);
+        OpenListenerGuard(node.clone())
+    }
+
+    /// Whether requests are open, connections on which answers may still be written, or listeners.
     fn is_busy(&self) -> bool {
-        self.open_requests.get() > 0 || self.open_connections.get() > 0
+        let open = [
+            &self.open_requests,
+            &self.open_connections,
+            &self.open_listeners,
+        ];
+        open.iter().any(|open| open.get() > 0)
     }
 }
 
@@ -97,6 +112,16 @@
     }
 }
 
+/// Guard for a listener for callers.
+pub(crate) struct OpenListenerGuard(Rc<Node>);
+
+impl Drop for OpenListenerGuard {
+    fn drop(&mut self) {
+        let open = &self.0.stop.open_listeners;
+        open.set(open.get() - 1);
+    }
+}
+
 /// Waits for SIGTERM or SIGINT. SIGHUP is only logged.
 ///
 /// # Errors
--- a/crates/dragonflystep_peer/src/network.rs
+++ b/crates/dragonflystep_peer/src/network.rs
@@ -35,8 +35,12 @@
 
 /// Accepts connections from other nodes or callers.
 pub trait NetworkListener {
-    /// Waits for the next connection.
+    /// Waits for the next connection. If the future is dropped, no connection is lost.
     fn accept(&mut self) -> StreamFuture<'_>;
+
+    /// Stops listening, so that further connections are refused. Returns the connections that are open but were not
+    /// accepted yet, which would be reset otherwise.
+    fn close(self: Box<Self>) -> Vec<Box<dyn NetworkStream>>;
 }
 
 /// Resolves to a listener once it is bound to its address.
@@ -135,6 +139,42 @@
             }
         })
     }
+
+    fn close(self: Box<Self>) -> Vec<Box<dyn NetworkStream>> {
+        let listener = match self.listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!(error:%; "connections that wait to be accepted are reset");
+                return Vec::new();
+            }
+        };
+        let mut waiting = Vec::new();
+        loop {
+            // Asks the kernel itself, as the event loop may not have been told of the latest connections.
+            match listener.accept() {
+                Ok((stream, _)) => match from_std(stream, self.limits) {
+                    Ok(stream) => waiting.push(stream),
+                    Err(error) => {
+                        log::debug!(error:%; "could not configure an accepted connection; it is closed");
+                    }
+                },
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return waiting,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => {
+                    log::warn!(error:%; "connections that wait to be accepted are reset");
+                    return waiting;
+                }
+            }
+        }
+    }
+}
+
+fn from_std(
+    stream: std::net::TcpStream,
+    limits: KeepaliveLimits,
+) -> io::Result<Box<dyn NetworkStream>> {
+    stream.set_nonblocking(true)?;
+    configured(TcpStream::from_std(stream)?, limits)
 }
 
 /// Sets the socket options of a new connection.
