Take the evidence in logs from the proof of the reply

Lines of replies that promise nothing (404 and the like) carry an empty `evidence` in place of `never_dispatched`.

--- a/crates/dragonflystep_edge/src/attempts.rs
+++ b/crates/dragonflystep_edge/src/attempts.rs
@@ -77,11 +77,6 @@
         self.upstreams().join(",")
     }
 
-    /// What shows for each dispatch in order that it did not run, for log records.
-    pub(crate) fn evidence_list(&self) -> String {
-        self.dispatches.evidence_list()
-    }
-
     /// Records how the latest dispatch ended. Its upstream stays excluded.
     pub(crate) fn record_outcome(&mut self, outcome: &DispatchOutcome) {
         let DispatchOutcome::NotRun(evidence) = outcome else {
--- a/crates/dragonflystep_edge/src/job_end.rs
+++ b/crates/dragonflystep_edge/src/job_end.rs
@@ -21,15 +21,15 @@
         attempts: &Attempts,
         server_error: Option<Response<AnswerBody>>,
     ) -> Response<AnswerBody> {
+        let reason = refusal_reason(refusal);
         let Some(proof) = attempts.not_run_proof() else {
-            return self.give_up(refusal_reason(refusal), attempts, server_error);
+            return self.give_up(reason, attempts, server_error);
         };
-        let reply = LocalReply::from_refusal(proof, refusal);
         if refusal.reason == RefusalReason::CrashSuspect {
             log::info!(request:% = self.facts.request_id, content:% = self.content(); "the request holds content that crashes upstreams");
         }
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), fingerprint:% = self.fingerprint_hex(), quota_units = self.quota_units, reason = reply.reason, evidence = attempts.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
-        reply.response(&self.node, &self.facts.request_id)
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, tier = self.tier, account = self.account_name(), fingerprint:% = self.fingerprint_hex(), quota_units = self.quota_units, reason, evidence = proof.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), sent = attempts.sent, held_ms = ms(self.arrived.elapsed()), retry_after_ms = ms(refusal.retry_after); "request refused");
+        LocalReply::from_refusal(proof, refusal).response(&self.node, &self.facts.request_id)
     }
 
     /// The name of the account for log records; empty without an account.
@@ -86,7 +86,7 @@
         let Some(proof) = attempts.not_run_proof() else {
             return self.fail_unknown(reason);
         };
-        log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, evidence = attempts.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), held_ms = ms(self.arrived.elapsed()); "request ended without having run");
+        log::info!(request:% = self.facts.request_id, route:% = self.route.name, fingerprint:% = self.fingerprint_hex(), reason, evidence = proof.evidence_list(), dispatches = attempts.dispatch_count(), upstreams = attempts.upstream_list(), held_ms = ms(self.arrived.elapsed()); "request ended without having run");
         LocalReply::not_run(proof, reason, OTHER_NODE_RETRY_AFTER)
             .response(&self.node, &self.facts.request_id)
     }
--- a/crates/dragonflystep_edge/src/local_reply.rs
+++ b/crates/dragonflystep_edge/src/local_reply.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// What shows for each dispatch that the request did not run, for log records; empty if the reply does not promise it.
+    pub(crate) fn evidence_list(&self) -> String {
+        let proof = self.proof.as_ref();
+        proof.map_or_else(String::new, NotRunProof::evidence_list)
+    }
+
     /// The response for the caller of `request_id`.
     pub(crate) fn response(self, node: &Node, request_id: &str) -> Response<AnswerBody> {
         node.metrics.count("own_answers_total", self.reason);
--- a/crates/dragonflystep_edge/src/not_run.rs
+++ b/crates/dragonflystep_edge/src/not_run.rs
@@ -12,14 +12,24 @@
 /// Shows that a request did not run.
 #[derive(Debug)]
 pub(crate) struct NotRunProof {
-    /// The least reliable evidence of its dispatches; none if there were none.
-    weakest: Option<NotRunEvidence>,
+    /// The evidence for each dispatch in order; empty if there was none.
+    dispatches: Vec<NotRunEvidence>,
 }
 
 impl NotRunProof {
     /// The least reliable evidence in one word, for metrics.
     pub(crate) fn label(&self) -> &'static str {
-        self.weakest.map_or(NEVER_DISPATCHED, NotRunEvidence::label)
+        let weakest = self.dispatches.iter().max();
+        weakest.map_or(NEVER_DISPATCHED, |evidence| evidence.label())
+    }
+
+    /// The evidence for each dispatch in order, for log records.
+    pub(crate) fn evidence_list(&self) -> String {
+        if self.dispatches.is_empty() {
+            return NEVER_DISPATCHED.to_owned();
+        }
+        let labels = self.dispatches.iter().map(|evidence| evidence.label());
+        labels.collect::<Vec<_>>().join(",")
     }
 }
 
@@ -33,7 +43,9 @@
 
     /// Shows that the request did not run, for the reply that ends it.
     pub(crate) fn not_run_proof(&self) -> NotRunProof {
-        NotRunProof { weakest: None }
+        NotRunProof {
+            dispatches: Vec::new(),
+        }
     }
 
     pub(crate) fn into_open_request(self) -> OpenRequest {
@@ -71,9 +83,8 @@
     /// Shows that the request did not run; none if any of its dispatches may have run.
     pub(crate) fn not_run_proof(&self) -> Option<NotRunProof> {
         let evidence = self.0.iter().map(|dispatch| dispatch.not_run);
-        let evidence: Vec<_> = evidence.collect::<Option<_>>()?;
         Some(NotRunProof {
-            weakest: evidence.into_iter().max(),
+            dispatches: evidence.collect::<Option<_>>()?,
         })
     }
 
@@ -84,16 +95,6 @@
     pub(crate) fn upstreams(&self) -> impl DoubleEndedIterator<Item = &UpstreamId> {
         self.0.iter().map(|dispatch| &dispatch.upstream)
     }
-
-    /// What shows for each dispatch that it did not run, for log records.
-    pub(crate) fn evidence_list(&self) -> String {
-        if self.0.is_empty() {
-            return NEVER_DISPATCHED.to_owned();
-        }
-        let evidence = self.0.iter().map(|dispatch| dispatch.not_run);
-        let labels = evidence.map(|evidence| evidence.map_or(NO_EVIDENCE, NotRunEvidence::label));
-        labels.collect::<Vec<_>>().join(",")
-    }
 }
 
 /// What shows that one dispatch did not run, the most reliable first.
@@ -120,10 +121,7 @@
 }
 
 /// The label of a request of which nothing was dispatched.
-pub(crate) const NEVER_DISPATCHED: &str = "never_dispatched";
-
-/// The label of a dispatch that may have run.
-const NO_EVIDENCE: &str = "none";
+const NEVER_DISPATCHED: &str = "never_dispatched";
 
 impl NotRunEvidence {
     /// What an answer that was claimed for the request states; none if the request may have run.
--- a/crates/dragonflystep_edge/src/request.rs
+++ b/crates/dragonflystep_edge/src/request.rs
@@ -11,7 +11,7 @@
         },
         local_reply::{ErrorStatus, LocalReply},
         node::Node,
-        not_run::{NEVER_DISPATCHED, Undispatched},
+        not_run::Undispatched,
         stop::StopSignal,
     },
     bytes::{Bytes, BytesMut},
@@ -47,7 +47,7 @@
     let job = match receive_request(node, head, body, facts, arrived, undispatched).await {
         Ok(job) => job,
         Err(reply) => {
-            log::info!(request:% = request_id, reason = reply.reason, evidence = NEVER_DISPATCHED, dispatches = 0, upstreams = ""; "request refused");
+            log::info!(request:% = request_id, reason = reply.reason, evidence = reply.evidence_list(), dispatches = 0, upstreams = ""; "request refused");
             return reply.response(node, &request_id);
         }
     };
