Let a new owner wait until rejections of earlier owners no longer count

What callers saw: nothing.

An owner may always use one rejection (`budget` is at least 1), and each began as if none had been used. That the limit was known everywhere is shown by the log (stated 5 s before on all four nodes), so a missing notice is ruled out.

Change: when an entry node changes to this owner and nobody requested a slot here within `REJECTION_WINDOW`, another node was the owner until now. For one window the new owner uses what is left of the limit beside what an owner uses after a rejection, shared by up to four owners that begin in a row: nothing for limits below 8. Nothing is sent for it, so it also holds after a kill.

All test files of dragonflystep_dispatch pass.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -97,6 +97,10 @@
     is_registry_fresh: bool,
     /// Time until which another owner may be granting slots too; absent when no overlap is known.
     overlap_ends_at: Option<MonotonicTime>,
+    /// When an entry node last requested a slot here; absent if none has.
+    last_request_at: Option<MonotonicTime>,
+    /// Time until which upstreams may count rejections of requests that earlier owners sent.
+    rejections_unknown_until: MonotonicTime,
 }
 
 impl Dispatcher {
@@ -127,6 +131,8 @@
             shares_streams: false,
             is_registry_fresh: true,
             overlap_ends_at: None,
+            last_request_at: None,
+            rejections_unknown_until: Duration::ZERO,
         }
     }
 
@@ -158,7 +164,10 @@
                     self.apply_rate_limit_share(now);
                 }
             }
-            Event::UsageReported(report) => self.quotas.apply_report(now, report),
+            Event::UsageReported(report) => {
+                self.note_entry_node(now);
+                self.quotas.apply_report(now, report);
+            }
             Event::NodeCountChanged(nodes) => self.quotas.set_node_count(now, nodes),
             Event::LimitsChanged(limits) => {
                 self.retry_limits = limits.retries();
@@ -330,6 +339,7 @@
         mut request: SlotRequest,
         effects: &mut Vec<Effect>,
     ) {
+        self.last_request_at = Some(now);
         self.conclude_from_crashes(now, effects);
         let bound = self.bind_to_version(now, &mut request);
         let refusal = bound.err().or_else(|| self.refuse_by_limits(now, &request));
--- a/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
@@ -6,7 +6,7 @@
         account_shares::AccountWeights,
         catalogue::Catalogue,
         ids::{MonotonicTime, ServiceName, UpstreamId},
-        limits::OVERLAP_RATE_SHARE,
+        limits::{OVERLAP_RATE_SHARE, REJECTION_WINDOW},
         upstream::Upstream,
     },
     std::{
@@ -32,6 +32,21 @@
         }
     }
 
+    /// Notes that an entry node changed to this owner. Unless others request slots here already, another node was the owner
+    /// until now, and the rejections of the requests that it sent are not known here.
+    pub(super) fn note_entry_node(&mut self, now: MonotonicTime) {
+        let is_owner = self
+            .last_request_at
+            .is_some_and(|at| now.saturating_sub(at) < REJECTION_WINDOW);
+        if is_owner {
+            return;
+        }
+        self.rejections_unknown_until = now + REJECTION_WINDOW;
+        for pool in self.pools.values_mut() {
+            pool.set_rejections_unknown_until(self.rejections_unknown_until);
+        }
+    }
+
     pub(super) fn set_catalogue(&mut self, now: MonotonicTime, catalogue: &Catalogue) {
         let quotas = catalogue.accounts.iter().filter_map(|account| {
             let quota = account.quota?;
@@ -81,6 +96,7 @@
             pool.set_upstreams(now, by_service.remove(name).unwrap_or_default());
             pool.set_evacuated(now, &self.evacuated);
             pool.set_rate_limit_share(now, rate_limit_share);
+            pool.set_rejections_unknown_until(self.rejections_unknown_until);
             pool.apply_notices(now, &self.notices);
         }
         self.update_stream_sharing(now);
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -229,6 +229,9 @@
 /// their way when the first of them was rejected.
 pub(crate) const REJECTION_LIMIT_USE: f64 = 0.5;
 
+/// Number of owners that may begin within [`REJECTION_WINDOW`] and share the rejections that [`REJECTION_LIMIT_USE`] leaves.
+pub(crate) const OWNER_STARTS_COVERED: f64 = 4.0;
+
 /// Longest time for which an upstream is assumed to go on working on a cancelled run. Most upstreams drop it at once.
 pub(crate) const MAX_LINGERING_TIME: Duration = Duration::from_secs(1);
 
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -205,6 +205,13 @@
         }
     }
 
+    /// Sets the time until which upstreams may count rejections of requests of earlier owners.
+    pub(crate) fn set_rejections_unknown_until(&mut self, until: MonotonicTime) {
+        for upstream in &mut self.upstreams {
+            upstream.set_rejections_unknown_until(until);
+        }
+    }
+
     /// Returns the share of the upstreams' rate limits that this owner may use.
     fn rate_share(&self) -> f64 {
         self.rate_limit_share.unwrap_or(1.0)
--- a/crates/dragonflystep_dispatch/src/rejection_guard.rs
+++ b/crates/dragonflystep_dispatch/src/rejection_guard.rs
@@ -5,13 +5,16 @@
 //! about those: another owner may be granting slots too, and an upstream may go on working on a request whose caller
 //! left. So after a rejection, and while another owner may be active, requests that may be rejected are counted as if they
 //! were, until one of them was accepted.
+//!
+//! A new owner does not know which requests the ones before it had rejected. Until those no longer count, it sends only
+//! what several owners in a row may send together, which is nothing to an upstream that bears very few rejections.
 
 use {
     crate::{
         ids::MonotonicTime,
         limits::{
-            BACK_OFF_PROBE_TIME, MAX_LINGERING_TIME, REJECTION_LIMIT_USE, REJECTION_REPORT_TIME,
-            REJECTION_WINDOW,
+            BACK_OFF_PROBE_TIME, MAX_LINGERING_TIME, OWNER_STARTS_COVERED, REJECTION_LIMIT_USE,
+            REJECTION_REPORT_TIME, REJECTION_WINDOW,
         },
     },
     std::collections::VecDeque,
@@ -32,10 +35,12 @@
     suspected_since: Option<MonotonicTime>,
     /// For each cancelled run, until when the upstream may go on working on it.
     lingering_until: Vec<MonotonicTime>,
+    /// Time until which rejections of requests of earlier owners may count.
+    unknown_until: MonotonicTime,
 }
 
 impl RejectionGuard {
-    pub(crate) fn new(limit_per_s: f64, share: f64) -> Self {
+    pub(crate) fn new(limit_per_s: f64, share: f64, unknown_until: MonotonicTime) -> Self {
         Self {
             limit_per_s,
             share,
@@ -43,6 +48,7 @@
             sent_at: VecDeque::new(),
             suspected_since: None,
             lingering_until: Vec::new(),
+            unknown_until,
         }
     }
 
@@ -54,6 +60,10 @@
         self.share = share;
     }
 
+    pub(crate) fn set_unknown_until(&mut self, unknown_until: MonotonicTime) {
+        self.unknown_until = unknown_until;
+    }
+
     pub(crate) fn record_sent(&mut self, now: MonotonicTime) {
         self.forget_old(now);
         self.sent_at.push_back(now);
@@ -86,6 +96,10 @@
             .suspected_since
             .filter(|since| rejections > 0 || !self.was_accepted_after(now, *since));
         let (may_be_rejected_since, limit) = match suspected_since {
+            _ if now < self.unknown_until => {
+                let limit = self.budget_beside_earlier_owners();
+                (now.saturating_sub(REJECTION_WINDOW), limit)
+            }
             Some(since) => (since, self.budget()),
             None if self.share < 1.0 => (now.saturating_sub(REJECTION_WINDOW), self.budget()),
             None => {
@@ -109,6 +123,12 @@
         (self.limit_per_s * self.share * REJECTION_LIMIT_USE).max(1.0) as usize
     }
 
+    /// Like [`budget`](Self::budget), while rejections of requests of earlier owners may count.
+    fn budget_beside_earlier_owners(&self) -> usize {
+        let unused_share = 1.0 - REJECTION_LIMIT_USE;
+        (self.limit_per_s * self.share * unused_share / OWNER_STARTS_COVERED) as usize
+    }
+
     fn forget_old(&mut self, now: MonotonicTime) {
         self.suspected_since = self
             .suspected_since
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -117,6 +117,8 @@
     pub(crate) is_evacuated: bool,
     /// Keeps its rejections within what it stated to bear; absent if it stated nothing.
     rejection_guard: Option<RejectionGuard>,
+    /// Time until which rejections of requests of earlier owners may count.
+    rejections_unknown_until: MonotonicTime,
     /// The back-off that the upstream itself requested in its refusals.
     pub(crate) requested_back_off: RequestedBackOff,
 }
@@ -145,6 +147,7 @@
             stated_cold: None,
             is_evacuated: false,
             rejection_guard: None,
+            rejections_unknown_until: Duration::ZERO,
             requested_back_off: RequestedBackOff::default(),
         }
     }
@@ -172,7 +175,18 @@
         match (&mut self.rejection_guard, limit_per_s) {
             (guard, None) => *guard = None,
             (Some(guard), Some(limit)) => guard.set_limit(limit),
-            (guard, Some(limit)) => *guard = Some(RejectionGuard::new(limit, share)),
+            (guard, Some(limit)) => {
+                let unknown_until = self.rejections_unknown_until;
+                *guard = Some(RejectionGuard::new(limit, share, unknown_until));
+            }
+        }
+    }
+
+    /// Sets the time until which rejections of requests of earlier owners may count.
+    pub(crate) fn set_rejections_unknown_until(&mut self, until: MonotonicTime) {
+        self.rejections_unknown_until = until;
+        if let Some(guard) = &mut self.rejection_guard {
+            guard.set_unknown_until(until);
         }
     }
 
--- a/crates/dragonflystep_dispatch/tests/rejection_limits.rs
+++ b/crates/dragonflystep_dispatch/tests/rejection_limits.rs
@@ -9,7 +9,7 @@
 use {
     dragonflystep_dispatch::{
         ActiveRun, Dispatcher, Effect, Event, NoticeKind, RunId, RunOutcome, SlotDecision,
-        UpstreamNotice,
+        UpstreamNotice, UsageReport,
     },
     std::{collections::VecDeque, time::Duration},
     support::{
@@ -32,6 +32,10 @@
 /// Duration of a replay.
 const LOAD_TIME: Duration = Duration::from_secs(12);
 
+/// Times for which the first of several owners in a row grants slots, and each of the others.
+const FIRST_OWNERSHIP_TIME: Duration = Duration::from_secs(3);
+const OWNERSHIP_TIME: Duration = Duration::from_millis(400);
+
 /// What deceives the owners about free slots.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Deception {
@@ -41,6 +45,8 @@
     CallersLeave,
     /// A new owner grants slots for half of the requests, and the one before does not know yet that it was replaced.
     TwoOwners,
+    /// New owners follow one another, and each knows nothing of the rejections of those before.
+    OwnersInARow,
 }
 
 /// Something that happens at an upstream or is reported to an owner.
@@ -62,13 +68,8 @@
 }
 
 impl Replay {
-    fn run(deception: Deception, limit_per_s: Option<f64>, seed: u64) -> Self {
-        let owners = if deception == Deception::TwoOwners {
-            2
-        } else {
-            1
-        };
-        let mut replay = Self {
+    fn new(deception: Deception, owners: usize) -> Self {
+        Self {
             owners: (0..owners).map(|_| dispatcher(UPSTREAMS, SLOTS)).collect(),
             deception,
             steps: Vec::new(),
@@ -76,17 +77,19 @@
             rejected_at: Default::default(),
             max_rejections: 0,
             completed: 0,
+        }
+    }
+
+    fn run(deception: Deception, limit_per_s: Option<f64>, seed: u64) -> Self {
+        let owners = if deception == Deception::TwoOwners {
+            2
+        } else {
+            1
         };
-        for (owner, index) in (0..owners).flat_map(|owner| (0..UPSTREAMS).map(move |i| (owner, i)))
-        {
-            if let Some(rejections_per_s) = limit_per_s {
-                let notice = UpstreamNotice {
-                    service: SERVICE.into(),
-                    upstream: format!("engine-{index}").into(),
-                    kind: NoticeKind::RejectionsLimited { rejections_per_s },
-                    age: Duration::ZERO,
-                };
-                replay.reduce(START, owner, Event::NoticeReceived(notice));
+        let mut replay = Self::new(deception, owners);
+        if let Some(limit_per_s) = limit_per_s {
+            for owner in 0..owners {
+                replay.state_limit(START, owner, limit_per_s);
             }
         }
         let mut random = Random::new(seed);
@@ -103,18 +106,51 @@
             }
             if owners == 2 {
                 // The entry nodes report the runs of the owner before, by which the new one knows of it.
-                let active_run = ActiveRun {
-                    request: plain_request(0, 1),
-                    upstream: "engine-0".into(),
-                    running_for: Duration::ZERO,
-                };
-                replay.reduce(now, 1, Event::ActiveRunReported(active_run));
-                replay.reduce(now, 1, run_ended(0, RunOutcome::Withheld));
+                replay.report_run(now, 1);
             }
         }
         replay
     }
 
+    fn state_limit(&mut self, now: Duration, owner: usize, rejections_per_s: f64) {
+        for index in 0..UPSTREAMS {
+            let notice = UpstreamNotice {
+                service: SERVICE.into(),
+                upstream: format!("engine-{index}").into(),
+                kind: NoticeKind::RejectionsLimited { rejections_per_s },
+                age: Duration::ZERO,
+            };
+            self.reduce(now, owner, Event::NoticeReceived(notice));
+        }
+    }
+
+    /// Adds an owner that an entry node tells of its change of owner.
+    fn add_owner(&mut self, now: Duration, limit_per_s: f64, reports_runs: bool) {
+        let owner = self.owners.len();
+        self.owners.push(dispatcher(UPSTREAMS, SLOTS));
+        self.state_limit(now, owner, limit_per_s);
+        let report = UsageReport {
+            node: "entry".into(),
+            coverage: LOAD_TIME,
+            accounts: Vec::new(),
+        };
+        self.reduce(now, owner, Event::UsageReported(report));
+        if reports_runs {
+            self.report_run(now, owner);
+        }
+    }
+
+    /// Reports a run of the owner before, which ends at once.
+    fn report_run(&mut self, now: Duration, owner: usize) {
+        let active_run = ActiveRun {
+            request: plain_request(0, 1),
+            upstream: "engine-0".into(),
+            running_for: Duration::ZERO,
+        };
+        self.reduce(now, owner, Event::ActiveRunReported(active_run));
+        self.reduce(now, owner, run_ended(0, RunOutcome::Withheld));
+    }
+
     fn reduce(&mut self, now: Duration, owner: usize, event: Event) {
         for Effect { run, decision } in self.owners[owner].reduce(now, event) {
             let SlotDecision::Granted(grant) = decision else {
@@ -217,6 +253,43 @@
     check(Deception::TwoOwners);
 }
 
+/// Returns the most rejections of an upstream in a second while owners follow one another and the upstreams reject all
+/// requests. `reports_runs` says whether entry nodes report active runs to a new owner.
+fn max_rejections_of_owners_in_a_row(limit_per_s: f64, reports_runs: bool, seed: u64) -> usize {
+    let mut replay = Replay::new(Deception::OwnersInARow, 0);
+    replay.occupied = [SLOTS; UPSTREAMS];
+    let mut random = Random::new(seed);
+    let (mut now, mut run) = (START, 0);
+    while now < START + LOAD_TIME {
+        now += Duration::from_secs_f64(random.gap_s(45.0));
+        replay.advance(now);
+        let since_first = now.saturating_sub(START + FIRST_OWNERSHIP_TIME);
+        let owner = (since_first.as_millis() / OWNERSHIP_TIME.as_millis()) as usize;
+        while replay.owners.len() <= owner {
+            replay.add_owner(now, limit_per_s, reports_runs);
+        }
+        run += 1;
+        replay.reduce(now, owner, Event::SlotRequested(plain_request(run, 1)));
+        replay.reduce(now, owner, Event::Ticked);
+    }
+    replay.max_rejections
+}
+
+#[test]
+fn an_upstream_of_owners_in_a_row_rejects_no_more_than_it_bears() {
+    for seed in 0..40 {
+        let limits = [2.0, 4.0, 8.0].into_iter();
+        for (limit_per_s, reports_runs) in limits.flat_map(|limit| [(limit, false), (limit, true)])
+        {
+            let rejections = max_rejections_of_owners_in_a_row(limit_per_s, reports_runs, seed);
+            assert!(
+                rejections as f64 <= limit_per_s,
+                "seed {seed}, limit {limit_per_s}, runs reported {reports_runs}: {rejections} rejections in a second"
+            );
+        }
+    }
+}
+
 #[test]
 fn an_upstream_serves_as_before_while_it_rejects_nothing() {
     let served = |limit| {
