Hold back also at an owner that returns while another one has granted

Cause: requests at this node within `REJECTION_WINDOW` were taken for proof that it alone was the owner.

Change: the usage reports that entry nodes send at a change of owner anyway say how long ago another owner granted units. If that is within `REJECTION_WINDOW`, the new owner holds back until the window after it is over. The quotas already draw the same conclusion (`granted_by_others`); both use `UsageReport::latest_grant_by_others` now.

Evidence: an_owner_sends_nothing_while_rejections_count_that_another_owner_caused failed before and passes, with rejection_limits, quota_owners, quotas and rate_limits of dragonflystep_dispatch.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -165,7 +165,7 @@
                 }
             }
             Event::UsageReported(report) => {
-                self.note_entry_node(now);
+                self.note_entry_node(now, &report);
                 self.quotas.apply_report(now, report);
             }
             Event::NodeCountChanged(nodes) => self.quotas.set_node_count(now, nodes),
--- a/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
@@ -8,10 +8,12 @@
         ids::{MonotonicTime, ServiceName, UpstreamId},
         limits::{OVERLAP_RATE_SHARE, REJECTION_WINDOW},
         upstream::Upstream,
+        usage::UsageReport,
     },
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -32,16 +34,18 @@
         }
     }
 
-    /// Notes that an entry node changed to this owner. Unless others request slots here already, another node was the owner
-    /// until now, and the rejections of the requests that it sent are not known here.
-    pub(super) fn note_entry_node(&mut self, now: MonotonicTime) {
-        let is_owner = self
-            .last_request_at
-            .is_some_and(|at| now.saturating_sub(at) < REJECTION_WINDOW);
-        if is_owner {
-            return;
-        }
-        self.rejections_unknown_until = now + REJECTION_WINDOW;
+    /// Notes that an entry node changed to this owner. If it has used another owner lately, or nobody has requested slots
+    /// here, the rejections of the requests that the other owner sent are not known here.
+    pub(super) fn note_entry_node(&mut self, now: MonotonicTime, report: &UsageReport) {
+        let is_recent = |age: &Duration| *age < REJECTION_WINDOW;
+        let last_request = self.last_request_at.map(|at| now.saturating_sub(at));
+        let other_granted = report.latest_grant_by_others();
+        let unknown_until = match other_granted.filter(is_recent) {
+            Some(age) => now + (REJECTION_WINDOW - age),
+            None if last_request.is_none_or(|age| !is_recent(&age)) => now + REJECTION_WINDOW,
+            None => return,
+        };
+        self.rejections_unknown_until = self.rejections_unknown_until.max(unknown_until);
         for pool in self.pools.values_mut() {
             pool.set_rejections_unknown_until(self.rejections_unknown_until);
         }
--- a/crates/dragonflystep_dispatch/src/quota/handover.rs
+++ b/crates/dragonflystep_dispatch/src/quota/handover.rs
@@ -73,7 +73,8 @@
         if let Some(known) = self.entry_nodes.get_mut(&report.node)
             && !known.is_outdated
         {
-            if !granted_by_others(&report, now.saturating_sub(known.reported_at)) {
+            let latest = report.latest_grant_by_others();
+            if latest.is_none_or(|age| age >= now.saturating_sub(known.reported_at)) {
                 known.reported_at = now;
                 return effect;
             }
@@ -177,10 +178,3 @@
         listed.unwrap_or(0).max(self.entry_nodes.len()).max(1)
     }
 }
-
-/// Whether owners other than the receiver granted anything within the last `since`.
-fn granted_by_others(report: &UsageReport, since: Duration) -> bool {
-    let slices = report.accounts.iter().flat_map(|usage| &usage.slices);
-    let mut recent = slices.filter(|slice| slice.age < since);
-    recent.any(|slice| slice.units > slice.units_granted_by_receiver)
-}
--- a/crates/dragonflystep_dispatch/src/usage.rs
+++ b/crates/dragonflystep_dispatch/src/usage.rs
@@ -48,6 +48,15 @@
     pub accounts: Vec<AccountUsage>,
 }
 
+impl UsageReport {
+    /// Time since an owner other than the receiver last granted units; absent if none did.
+    pub(crate) fn latest_grant_by_others(&self) -> Option<Duration> {
+        let slices = self.accounts.iter().flat_map(|usage| &usage.slices);
+        let by_others = slices.filter(|slice| slice.units > slice.units_granted_by_receiver);
+        by_others.map(|slice| slice.age).min()
+    }
+}
+
 /// An entry node's record of the units that accounts used through it.
 ///
 /// # Examples
--- a/crates/dragonflystep_dispatch/tests/rejection_limits.rs
+++ b/crates/dragonflystep_dispatch/tests/rejection_limits.rs
@@ -8,8 +8,8 @@
 
 use {
     dragonflystep_dispatch::{
-        ActiveRun, Dispatcher, Effect, Event, NoticeKind, RunId, RunOutcome, SlotDecision,
-        UpstreamNotice, UsageReport,
+        AccountUsage, ActiveRun, Dispatcher, Effect, Event, NoticeKind, RunId, RunOutcome,
+        SlotDecision, UpstreamNotice, UsageReport, UsageSlice,
     },
     std::{collections::VecDeque, time::Duration},
     support::{
@@ -290,6 +290,37 @@
     }
 }
 
+#[test]
+fn an_owner_sends_nothing_while_rejections_count_that_another_owner_caused() {
+    let is_granted_at_once = |units_granted_by_receiver| {
+        let mut replay = Replay::new(Deception::OwnersInARow, 1);
+        replay.state_limit(START, 0, 2.0);
+        let granted = replay.owners[0].reduce(START, Event::SlotRequested(plain_request(1, 1)));
+        assert_eq!(granted.len(), 1, "the owner grants slots");
+        replay.reduce(START + TRANSIT, 0, run_ended(1, RunOutcome::Completed));
+        let returned_at = START + WINDOW / 2;
+        let usage = AccountUsage {
+            account: "account".into(),
+            slices: vec![UsageSlice {
+                age: WINDOW / 4,
+                units: 100.0,
+                units_granted_by_receiver,
+            }],
+        };
+        let report = UsageReport {
+            node: "entry".into(),
+            coverage: LOAD_TIME,
+            accounts: vec![usage],
+        };
+        replay.reduce(returned_at, 0, Event::UsageReported(report));
+        let request = Event::SlotRequested(plain_request(2, 1));
+        let effects = replay.owners[0].reduce(returned_at, request);
+        !effects.is_empty()
+    };
+    assert!(is_granted_at_once(100.0));
+    assert!(!is_granted_at_once(0.0));
+}
+
 #[test]
 fn an_upstream_serves_as_before_while_it_rejects_nothing() {
     let served = |limit| {
