--- a/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
@@ -6,12 +6,14 @@
         account_shares::AccountWeights,
         catalogue::Catalogue,
         ids::{MonotonicTime, ServiceName, UpstreamId},
-        limits::OVERLAP_RATE_SHARE,
+        limits::{OVERLAP_RATE_SHARE, REJECTION_WINDOW},
         upstream::Upstream,
+        usage::UsageReport,
     },
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -32,6 +34,23 @@
         }
     }
 
+    /// Notes that an entry node changed to this owner. If it has used another owner lately, or nobody has requested slots
+    /// here, the rejections of the requests that the other owner sent are not known here.
+    pub(super) fn note_entry_node(&mut self, now: MonotonicTime, report: &UsageReport) {
+        let is_recent = |age: &Duration| *age < REJECTION_WINDOW;
+        let last_request = self.last_request_at.map(|at| now.saturating_sub(at));
+        let other_granted = report.latest_grant_by_others();
+        let unknown_until = match other_granted.filter(is_recent) {
+            Some(age) => now + (REJECTION_WINDOW - age),
+            None if last_request.is_none_or(|age| !is_recent(&age)) => now + REJECTION_WINDOW,
+            None => return,
+        };
+        self.rejections_unknown_until = self.rejections_unknown_until.max(unknown_until);
+        for pool in self.pools.values_mut() {
+            pool.set_rejections_unknown_until(self.rejections_unknown_until);
+        }
+    }
+
     pub(super) fn set_catalogue(&mut self, now: MonotonicTime, catalogue: &Catalogue) {
         let quotas = catalogue.accounts.iter().filter_map(|account| {
             let quota = account.quota?;
@@ -81,6 +100,7 @@
             pool.set_upstreams(now, by_service.remove(name).unwrap_or_default());
             pool.set_evacuated(now, &self.evacuated);
             pool.set_rate_limit_share(now, rate_limit_share);
+            pool.set_rejections_unknown_until(self.rejections_unknown_until);
             pool.apply_notices(now, &self.notices);
         }
         self.update_stream_sharing(now);
