--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -316,7 +316,7 @@
                 RunOutcome::Rejected
             };
             let is_named = !facts.request_id.is_empty();
-            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, outcome:? = outcome, is_named, named_request = facts.request_id, status = status.as_u16(); "upstream did not run the request");
+            log::info!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, outcome:? = outcome, is_named, named_request = facts.request_id, status = status.as_u16(), earlier_calls = answer.connection().earlier_calls(); "upstream did not run the request");
             let kind = if is_named { "named" } else { "unnamed" };
             self.node.metrics.count("rejections_total", kind);
             slot.end(outcome, RunStats::default());
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -94,7 +94,12 @@
 
     /// Whether the call in progress is the first one, so that no late answer to another call can arrive.
     pub(crate) fn is_first_call(&self) -> bool {
-        self.calls == 1
+        self.earlier_calls() == 0
+    }
+
+    /// Calls that were sent before the one in progress.
+    pub(crate) fn earlier_calls(&self) -> u32 {
+        self.calls.saturating_sub(1)
     }
 
     /// Records that the upstream rejected a request on this connection.
