Install the signal handlers of a node before it listens

Cause: stop_signal() installed the handlers when its future was first polled, after all listeners were open. Now the call itself installs them, before the node runs.

--- a/crates/dragonflystep_edge/src/stop.rs
+++ b/crates/dragonflystep_edge/src/stop.rs
@@ -8,7 +8,7 @@
         node::{Node, NodeError},
         platform::Platform,
     },
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::{cell::Cell, future::Future, rc::Rc, time::Duration},
     tokio::{
         signal::unix::{SignalKind, signal},
         sync::watch,
@@ -122,19 +122,31 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT. SIGHUP is only logged.
+/// Installs the signal handlers and returns a future that waits for SIGTERM or SIGINT. SIGHUP is only logged.
+///
+/// To be called before the node listens: a signal without a handler ends the process. Must be called in the context of a
+/// Tokio runtime.
 ///
 /// # Errors
-/// If a signal handler can't be installed.
-pub async fn stop_signal() -> Result<(), NodeError> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(NodeError::Signals)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => log::info!("reload requested; the settings file will be read within a second"),
+/// If a signal handler can't be installed, the future returns the error.
+pub fn stop_signal() -> impl Future<Output = Result<(), NodeError>> {
+    let handlers = [
+        SignalKind::terminate(),
+        SignalKind::interrupt(),
+        SignalKind::hangup(),
+    ]
+    .map(signal);
+    async move {
+        let [terminate, interrupt, hangup] = handlers;
+        let mut terminate = terminate.map_err(NodeError::Signals)?;
+        let mut interrupt = interrupt.map_err(NodeError::Signals)?;
+        let mut hangup = hangup.map_err(NodeError::Signals)?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return Ok(()),
+                _ = interrupt.recv() => return Ok(()),
+                _ = hangup.recv() => log::info!("reload requested; the settings file will be read within a second"),
+            }
         }
     }
 }
