Accept a rejection only with a status of rejections and of a head that is one head

What callers would see: 503, "not run", for requests that an upstream ran and failed.

Cause: stray bytes that end inside a head line may also swallow the status line of an unsigned failure (500, 504), which bears neither a signature nor a status of success; and Not-Executed counted with any status, although an upstream's own 500, and its 504 at the deadline, mean that it ran.

Change: a rejection has status 400, 421, 429 or 503, names one request at most, and no value of its head holds the beginning of another head. All else is answered as one that may have run.

--- a/crates/dragonflystep_edge/src/dialect.rs
+++ b/crates/dragonflystep_edge/src/dialect.rs
@@ -98,6 +98,8 @@
 pub struct AnswerFacts {
     /// The id of the request that the answer belongs to; empty if it names none.
     pub request_id: String,
+    /// Whether the answer names several requests.
+    pub is_ambiguous: bool,
     /// Whether the upstream states that it did not run the request.
     pub is_not_run: bool,
     /// Whether the request did not run because the address it was sent to now belongs to another upstream.
--- a/crates/dragonflystep_edge/src/upstream_answer.rs
+++ b/crates/dragonflystep_edge/src/upstream_answer.rs
@@ -13,11 +13,14 @@
         upstream_connections::OpenConnection,
     },
     bytes::{Bytes, BytesMut},
-    http::{Response, response::Parts},
+    http::{HeaderValue, Response, StatusCode, response::Parts},
     http_body_util::BodyExt,
     hyper::body::{Frame, Incoming},
 };
 
+/// How the head of an answer begins.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+
 /// An answer that arrived on a connection. It may belong to another call than the one that waits there.
 pub(crate) struct UnclaimedAnswer {
     response: Response<Incoming>,
@@ -69,8 +72,7 @@
         let mut answer = self.read_head(node);
         let facts = &answer.facts;
         let is_rejection = facts.is_not_run || facts.is_misdirected;
-        let has_marks_of_run = facts.is_signed || facts.is_success;
-        if is_rejection && has_marks_of_run {
+        if is_rejection && has_marks_of_run(&answer.head, facts) {
             return answer.accept_if(false, node, "contradiction");
         }
         let is_own = if facts.request_id.is_empty() {
@@ -103,6 +105,25 @@
     }
 }
 
+/// Whether the head of a rejection also says that the request ran, or holds parts of two heads.
+fn has_marks_of_run(head: &Parts, facts: &AnswerFacts) -> bool {
+    let is_rejection_status = matches!(
+        head.status,
+        StatusCode::BAD_REQUEST
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    let holds_status_line = |value: &HeaderValue| {
+        let mut parts = value.as_bytes().windows(STATUS_LINE_START.len());
+        parts.any(|part| part == STATUS_LINE_START)
+    };
+    facts.is_signed
+        || facts.is_ambiguous
+        || !is_rejection_status
+        || head.headers.values().any(holds_status_line)
+}
+
 impl UpstreamAnswer {
     fn accept_if(
         mut self,
