Do not suspect a request of a crash because its upstream sent a foreign answer

What callers saw: 503 breaks_upstreams for sound requests.

Cause: an answer that is not claimed ended the run as broken, like a connection that breaks off, and a broken run counts as a crash that the content of the request may have caused. Since rejections without an id on kept connections are not claimed either, this came up more often.

Evidence: stray_answers_do_not_make_the_content_of_their_requests_suspect_of_crashes: the sixth request of one content was refused after five stray answers; now all are answered 502 and the next one 200. The upstream did answer, so that the run counts as failed there (its failure rate, roll-outs) and says nothing about the request. crashing_contents and traps pass.

--- a/crates/dragonflystep_edge/src/job.rs
+++ b/crates/dragonflystep_edge/src/job.rs
@@ -282,7 +282,8 @@
             Ok(answer) => answer,
             Err(ForeignAnswer(other)) => {
                 log::warn!(request:% = self.facts.request_id, upstream:% = slot.grant.upstream, other; "received the answer to another request");
-                slot.end(RunOutcome::Broken, RunStats::default());
+                // The upstream answers, so that the request is not suspected of having crashed it.
+                slot.end(RunOutcome::Failed, RunStats::default());
                 return DispatchOutcome::Unknown("foreign_answer");
             }
         };
