--- a/tests/edge_signals.rs
+++ b/tests/edge_signals.rs
@@ -1,4 +1,4 @@
-//! Guards against signals that end an edge node without a planned stop, and against ends that nothing tells of.
+//! Guards against signals that end an edge node without a graceful shutdown, and against log lines that are lost at its exit.
 
 mod support;
 
@@ -81,7 +81,7 @@
 
 impl Drop for EdgeProcess {
     fn drop(&mut self) {
-        // Both fail if the process has ended.
+        // Both fail if the process has already exited.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
