Wait until the nodes listen before their last log lines are tested

The test slept 1.5 s after it had started 20 nodes. A node that takes longer on a busy machine is ended by the signal before its handler is there, and the test fails for a reason that is not its own.

--- a/tests/edge_signals.rs
+++ b/tests/edge_signals.rs
@@ -140,8 +140,8 @@
     let nodes: Vec<_> = (0..STARTS)
         .map(|index| EdgeProcess::start(directory.path(), index))
         .collect();
-    thread::sleep(Duration::from_millis(1_500));
     for node in &nodes {
+        node.wait_until_it_listens();
         node.signal(Signal::TERM);
     }
     for (index, node) in nodes.into_iter().enumerate() {
