Have the platform keep at which versions streams began, so that a loss of all nodes joins no two versions

Callers saw: after all nodes were killed at once, streams that broke off at one software version of the upstreams were taken up again at another (ORDER), or were all refused although their version still served (LOST).

Cause: a node that has just started took the only version that it had seen for the only one there was, although it had seen nothing before its start; and the versions of single streams were known to nodes alone. Class: the absence of knowledge was taken for a proof.

Now a node concludes that there was one version only if it knows the time before its own start: the platform keeps the versions of each service in one row, written by the owner when they change, and a node that missed changes of the registry has to read it again. While several versions serve, the owner also writes the streams that it granted, 250 ms of them a row, some 12 bytes a stream, deleted once no caller can come back. A new owner reads both once. An entry node that has watched for long enough tells a new owner that it saw one version alone. How long versions count follows the longest deadline of callers.

Tests changed: stream_versions.rs of the dispatcher took a node that had just started, or had missed changes of the registry, for one that knows all versions; its owner is now told that there were no others, and new tests require that it is refused otherwise.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -35,7 +35,7 @@
     },
 };
 
-pub use self::content::ContentChange;
+pub use self::{content::ContentChange, streams::VersionEvidence};
 
 /// Makes the scheduling decisions of one node, for all services that it owns.
 ///
@@ -95,6 +95,10 @@
     shares_streams: bool,
     /// Whether this node learns of changes of the registry.
     is_registry_fresh: bool,
+    /// Since when this node has learned of each change of the registry; absent before the first registry.
+    registry_followed_since: Option<MonotonicTime>,
+    /// Whether this node also knows of the changes before that, as far as they matter for streams.
+    is_version_history_known: bool,
     /// Time until which another owner may be granting slots too; absent when no overlap is known.
     overlap_ends_at: Option<MonotonicTime>,
     /// When an entry node last requested a slot here; absent if none has.
@@ -130,6 +134,8 @@
             streams_swept_at: Duration::ZERO,
             shares_streams: false,
             is_registry_fresh: true,
+            registry_followed_since: None,
+            is_version_history_known: false,
             overlap_ends_at: None,
             last_request_at: None,
             rejections_unknown_until: Duration::ZERO,
@@ -212,7 +218,16 @@
                 self.quota_share = partition_limit_share(contacts);
                 self.apply_rate_limit_share(now);
             }
-            Event::RegistryFreshnessChanged(is_fresh) => self.is_registry_fresh = is_fresh,
+            Event::RegistryFreshnessChanged(is_fresh) => {
+                self.set_registry_fresh(now, is_fresh);
+            }
+            Event::StreamsRestored(streams) => {
+                // The newest record of a stream comes last.
+                for stream in streams.into_iter().rev() {
+                    self.streams.record_restored(now, stream);
+                }
+            }
+            Event::VersionHistoryRestored(history) => self.restore_version_history(now, &history),
             Event::StreamsReported(streams) => {
                 for stream in streams {
                     self.streams.record_reported(now, stream);
--- a/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
@@ -103,6 +103,7 @@
             pool.set_rejections_unknown_until(self.rejections_unknown_until);
             pool.apply_notices(now, &self.notices);
         }
+        self.registry_followed_since.get_or_insert(now);
         self.update_stream_sharing(now);
         // Registry entries may name any service; dropping unused pools keeps them from accumulating.
         self.pools.retain(|_, pool| !pool.is_unused());
--- a/crates/dragonflystep_dispatch/src/event.rs
+++ b/crates/dragonflystep_dispatch/src/event.rs
@@ -13,7 +13,7 @@
         retry_budget::RetryLimits,
         rollout::{RolloutOrder, RolloutPhase, RolloutRules},
         share_rules::ShareRules,
-        stream_versions::StreamVersion,
+        stream_versions::{StreamVersion, VersionHistory},
         upstream::Upstream,
         usage::UsageReport,
         warm_up::WarmUpRules,
@@ -85,6 +85,10 @@
     RegistryFreshnessChanged(bool),
     /// Another node reported at which software versions streams began.
     StreamsReported(Vec<StreamVersion>),
+    /// The platform kept at which software versions streams began, in the order in which that was written.
+    StreamsRestored(Vec<StreamVersion>),
+    /// The platform kept which software versions the upstreams of the services had lately.
+    VersionHistoryRestored(VersionHistory),
     /// This node, as the entry node, was granted a slot for a stream at this software version.
     StreamBegan(StreamVersion),
     /// This node or another one observed crashes of upstreams, or content that is sound.
--- a/crates/dragonflystep_dispatch/src/lib.rs
+++ b/crates/dragonflystep_dispatch/src/lib.rs
@@ -49,7 +49,7 @@
     },
     copy_rules::CopyRules,
     crash_log::{CrashEvidence, SoundContent, UpstreamCrash},
-    dispatcher::{ContentChange, Dispatcher},
+    dispatcher::{ContentChange, Dispatcher, VersionEvidence},
     event::{Effect, Event, SharedLimits},
     ids::{
         AccountName, ContentKey, DataCentreName, MonotonicTime, NodeIncarnation, NodeName,
@@ -59,8 +59,8 @@
     limits::SOUND_EVENTS,
     messages::{
         ActiveRun, BackOff, CopyTarget, Grant, PromptSegment, Refusal, RefusalReason, RunCopy,
-        RunOutcome, RunReport, SlotDecision, SlotRequest, StreamProgress, StreamTry, UpstreamLoad,
-        WorkSize,
+        RunOutcome, RunReport, SlotDecision, SlotRequest, StartVersion, StreamProgress, StreamTry,
+        UpstreamLoad, WorkSize,
     },
     notices::{NoticeKind, UpstreamNotice},
     ownership::{Member, Visibility, partition_limit_share, rank_owners},
@@ -69,7 +69,7 @@
     rollout::{RolloutOrder, RolloutPhase, RolloutRules, RolloutStep},
     routing::{RouteMatch, RoutingError, RoutingTable},
     share_rules::ShareRules,
-    stream_versions::StreamVersion,
+    stream_versions::{RecentVersion, StreamVersion, VersionHistory},
     upstream::{Upstream, UpstreamPhase},
     usage::{AccountUsage, UsageLedger, UsageReport, UsageSlice},
     warm_up::WarmUpRules,
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -49,11 +49,20 @@
     /// It has none, so that any upstream may run the request.
     New,
     /// It has some. Only upstreams of the software version that began the stream may run the request.
-    Resumed {
-        /// The version that began the stream; absent if the entry node does not know it.
-        version: Option<UpstreamVersion>,
-        /// Whether the entry node saw several versions within the time in which callers may come back.
-        saw_several_versions: bool,
+    Resumed(StartVersion),
+}
+
+/// What is known of the software version at which a stream began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StartVersion {
+    /// A node remembers that the stream began at this version.
+    Recorded(UpstreamVersion),
+    /// Within the time in which callers may come back, the entry node has seen this version and no other.
+    Only(UpstreamVersion),
+    /// The entry node can't tell.
+    Unknown {
+        /// Whether it saw several versions within that time.
+        saw_several: bool,
     },
 }
 
@@ -197,17 +206,42 @@
         ids.into_iter().flatten()
     }
 
+    /// The stream that the request resumes; absent if it resumes none.
+    ///
+    /// # Examples
+    /// ```
+    /// use dragonflystep_dispatch::{SlotRequest, StartVersion, StreamProgress, StreamTry, WorkSize};
+    /// use std::time::Duration;
+    ///
+    /// let mut request = SlotRequest {
+    ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
+    ///     objective_left: Duration::from_secs(1), time_left: Duration::from_secs(4), longest_pause: None,
+    ///     size: WorkSize::default(), previous_attempts: 0, excluded_upstreams: Vec::new(), fingerprint: 9, shared_content: Vec::new(),
+    ///     data_centre: "a".into(), allowed_data_centres: None, stream: None, copy: None,
+    /// };
+    /// assert_eq!(request.resumed_stream(), None);
+    /// request.stream = Some(StreamTry {
+    ///     id: 3, caller_time_left: Duration::from_secs(4),
+    ///     progress: StreamProgress::Resumed(StartVersion::Unknown { saw_several: false }),
+    /// });
+    /// assert_eq!(request.resumed_stream(), Some(3));
+    /// ```
+    pub fn resumed_stream(&self) -> Option<StreamId> {
+        let stream = self.stream.as_ref()?;
+        matches!(stream.progress, StreamProgress::Resumed(_)).then_some(stream.id)
+    }
+
     /// The software version that an upstream must have to run the request; absent if all may run it, or if the request
     /// resumes a stream whose version is not known.
     ///
     /// # Examples
     /// ```
-    /// use dragonflystep_dispatch::{SlotRequest, StreamProgress, StreamTry, WorkSize};
+    /// use dragonflystep_dispatch::{SlotRequest, StartVersion, StreamProgress, StreamTry, WorkSize};
     /// use std::time::Duration;
     ///
     /// let stream = StreamTry {
     ///     id: 3, caller_time_left: Duration::from_secs(4),
-    ///     progress: StreamProgress::Resumed { version: Some("v2".into()), saw_several_versions: true },
+    ///     progress: StreamProgress::Resumed(StartVersion::Recorded("v2".into())),
     /// };
     /// let request = SlotRequest {
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
@@ -219,8 +253,10 @@
     /// ```
     pub fn required_version(&self) -> Option<&UpstreamVersion> {
         match &self.stream.as_ref()?.progress {
-            StreamProgress::New => None,
-            StreamProgress::Resumed { version, .. } => version.as_ref(),
+            StreamProgress::Resumed(
+                StartVersion::Recorded(version) | StartVersion::Only(version),
+            ) => Some(version),
+            StreamProgress::New | StreamProgress::Resumed(StartVersion::Unknown { .. }) => None,
         }
     }
 
@@ -258,7 +294,7 @@
     pub(crate) fn has_begun(&self) -> bool {
         let stream = self.stream.as_ref();
         let is_resumed =
-            stream.is_some_and(|stream| matches!(stream.progress, StreamProgress::Resumed { .. }));
+            stream.is_some_and(|stream| matches!(stream.progress, StreamProgress::Resumed(_)));
         is_resumed || self.continues_at().is_some()
     }
 
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -26,7 +26,7 @@
         copy_rules::CopyRules,
         crash_log::Verdicts,
         event::Effect,
-        ids::{MonotonicTime, RunId, Tier, UpstreamId, UpstreamVersion},
+        ids::{MonotonicTime, RunId, Tier, UpstreamId},
         limits::{DEFAULT_CACHE_TOKENS, MAX_SKIPPED_REQUESTS, UNORDERED_VERSION_HOLD},
         messages::{BackOff, RefusalReason, SlotRequest},
         notices::UpstreamNotices,
@@ -90,7 +90,9 @@
     /// Back-offs that began since they were last taken.
     back_offs: Vec<BackOff>,
     /// Software versions that its upstreams had lately.
-    seen_versions: SeenVersions,
+    pub(crate) seen_versions: SeenVersions,
+    /// Whether these changed since that was last taken.
+    pub(crate) have_versions_changed: bool,
     /// Streams for which slots were granted since they were last taken.
     granted_streams: Vec<StreamVersion>,
     /// What is known of content that crashes upstreams.
@@ -158,7 +160,7 @@
         }
         let listed = self.upstreams.iter();
         let versions = listed.map(|upstream| upstream.entry.version.clone());
-        self.seen_versions.update(now, versions.collect());
+        self.have_versions_changed |= self.seen_versions.update(now, &versions.collect());
         self.rebuild_indices();
         self.forget_replaced_rollout();
     }
@@ -225,6 +227,7 @@
             && self.queue.is_empty()
             && self.retries.is_empty()
             && self.rollout.is_none()
+            && self.seen_versions.is_empty()
     }
 
     /// Handles a new request: grants it a slot, queues it or refuses it.
@@ -358,16 +361,6 @@
         std::mem::take(&mut self.granted_streams)
     }
 
-    /// Whether streams that callers may still resume may have begun at several software versions.
-    pub(crate) fn has_several_versions(&self, now: MonotonicTime) -> bool {
-        self.seen_versions.are_several(now)
-    }
-
-    /// Returns the software version at which all streams began that callers may still resume, if there is only one.
-    pub(crate) fn only_version(&self, now: MonotonicTime) -> Option<&UpstreamVersion> {
-        self.seen_versions.only(now)
-    }
-
     /// Returns the requests that were refused after waiting since the last call. They did not run.
     pub(crate) fn take_refused_waiting(&mut self) -> Vec<SlotRequest> {
         std::mem::take(&mut self.refused_waiting)
--- a/crates/dragonflystep_dispatch/src/stream_versions.rs
+++ b/crates/dragonflystep_dispatch/src/stream_versions.rs
@@ -6,11 +6,11 @@
 
 use {
     crate::{
-        ids::{MonotonicTime, StreamId, UpstreamVersion},
+        ids::{MonotonicTime, ServiceName, StreamId, UpstreamVersion},
         limits::{COMPLETED_STREAM_LIFETIME, MAX_STREAM_RECORDS, VERSION_MEMORY},
     },
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         time::Duration,
     },
 };
@@ -40,17 +40,25 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamVersions {
     records: HashMap<StreamId, Record>,
-    /// Streams that this node granted since they were last taken.
+    /// Streams that this node granted since they were last taken to be copied to other nodes.
     changed: BTreeSet<StreamId>,
+    /// Streams that this node granted and that the platform does not keep yet.
+    unstored: BTreeSet<StreamId>,
+    /// Whether one of these was kept at another version.
+    has_replaced: bool,
 }
 
 impl StreamVersions {
     /// Records a stream for which this node granted a slot.
     pub(crate) fn record_granted(&mut self, now: MonotonicTime, granted: StreamVersion) {
         let stream = granted.stream;
+        let before = self.version(now, stream);
+        let is_replaced = before.is_some_and(|before| *before != granted.version);
         if let Some(record) = self.insert(now, granted) {
             record.is_granted = true;
             self.changed.insert(stream);
+            self.unstored.insert(stream);
+            self.has_replaced |= is_replaced;
         }
     }
 
@@ -61,6 +69,13 @@
         }
     }
 
+    /// Records a stream that the platform kept, unless something newer is known of it.
+    pub(crate) fn record_restored(&mut self, now: MonotonicTime, restored: StreamVersion) {
+        if self.version(now, restored.stream).is_none() {
+            self.insert(now, restored);
+        }
+    }
+
     /// Records a stream that another node reported.
     pub(crate) fn record_reported(&mut self, now: MonotonicTime, reported: StreamVersion) {
         self.insert(now, reported);
@@ -115,11 +130,48 @@
     pub(crate) fn mark_granted_changed(&mut self) {
         let granted = self.records.iter().filter(|(_, record)| record.is_granted);
         self.changed = granted.map(|(stream, _)| *stream).collect();
+        self.unstored = self.changed.clone();
+    }
+
+    /// Marks streams as not kept by the platform.
+    pub(crate) fn mark_unstored(&mut self, streams: impl Iterator<Item = StreamId>) {
+        self.unstored.extend(streams);
+    }
+
+    /// Marks all streams that this node granted as not kept by the platform.
+    pub(crate) fn mark_granted_unstored(&mut self) {
+        let granted = self.records.iter().filter(|(_, record)| record.is_granted);
+        self.unstored = granted.map(|(stream, _)| *stream).collect();
+    }
+
+    /// Whether the platform lacks streams that this node granted.
+    pub(crate) fn has_unstored(&self) -> bool {
+        !self.unstored.is_empty()
+    }
+
+    /// Whether the platform keeps a stream at another version than the one at which it was granted last.
+    pub(crate) fn has_replaced(&self) -> bool {
+        self.has_replaced
+    }
+
+    /// Returns up to `limit` of the streams that the platform does not keep yet.
+    pub(crate) fn take_unstored(&mut self, now: MonotonicTime, limit: usize) -> Vec<StreamVersion> {
+        let taken: Vec<StreamId> = self.unstored.iter().copied().take(limit).collect();
+        for stream in &taken {
+            self.unstored.remove(stream);
+        }
+        self.has_replaced &= !self.unstored.is_empty();
+        let known = taken
+            .into_iter()
+            .filter_map(|stream| Some((stream, self.records.get(&stream)?)));
+        reports(now, known)
     }
 
     /// Forgets which streams were granted; nobody needs copies of them.
     pub(crate) fn clear_changed(&mut self) {
         self.changed.clear();
+        self.unstored.clear();
+        self.has_replaced = false;
     }
 
     /// Returns all streams that may still be resumed.
@@ -158,41 +210,137 @@
         .collect()
 }
 
+/// A software version at which streams may have begun that callers may still resume.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecentVersion {
+    /// The version.
+    pub version: UpstreamVersion,
+    /// Whether the registry lists an upstream of this version.
+    pub is_listed: bool,
+    /// How long such streams may still be resumed; for a listed version, from the time when it is no longer listed.
+    pub resumable_for: Duration,
+}
+
+/// The recent software versions of each service, as the platform keeps them for nodes that have just started.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionHistory {
+    /// The versions of each service; an absent service has none.
+    pub services: BTreeMap<ServiceName, Vec<RecentVersion>>,
+    /// Whether no version is missing.
+    pub is_complete: bool,
+}
+
+#[derive(Debug)]
+struct SeenVersion {
+    is_listed: bool,
+    /// Longest time for which the caller of a stream of this version may resume it.
+    longest_lifetime: Duration,
+    /// Time until which a stream of this version may be resumed, as far as that is known.
+    resumable_until: MonotonicTime,
+}
+
 /// The software versions that a service's upstreams had lately.
 #[derive(Debug, Default)]
-pub(crate) struct SeenVersions {
-    /// When each version was last in the registry. Those that are listed now are in `listed` as well.
-    last_seen: HashMap<UpstreamVersion, MonotonicTime>,
-    listed: BTreeSet<UpstreamVersion>,
-}
+pub(crate) struct SeenVersions(BTreeMap<UpstreamVersion, SeenVersion>);
 
 impl SeenVersions {
-    /// Records the versions that are in the registry from `now` on.
-    pub(crate) fn update(&mut self, now: MonotonicTime, listed: BTreeSet<UpstreamVersion>) {
-        let before = std::mem::replace(&mut self.listed, listed);
-        let seen = before.into_iter().chain(self.listed.iter().cloned());
-        self.last_seen.extend(seen.map(|version| (version, now)));
-        self.last_seen
-            .retain(|_, seen_at| now < *seen_at + VERSION_MEMORY);
+    /// Records the versions that are in the registry from `now` on. Returns whether these are others than before.
+    pub(crate) fn update(
+        &mut self,
+        now: MonotonicTime,
+        listed: &BTreeSet<UpstreamVersion>,
+    ) -> bool {
+        let mut has_changed = false;
+        for (version, seen) in &mut self.0 {
+            let is_listed = listed.contains(version);
+            if seen.is_listed && !is_listed {
+                let until = now + seen.longest_lifetime;
+                seen.resumable_until = seen.resumable_until.max(until);
+            }
+            has_changed |= seen.is_listed != is_listed;
+            seen.is_listed = is_listed;
+        }
+        for version in listed {
+            if !self.0.contains_key(version) {
+                has_changed = true;
+                self.entry(version.clone()).is_listed = true;
+            }
+        }
+        self.expire(now);
+        has_changed
+    }
+
+    fn entry(&mut self, version: UpstreamVersion) -> &mut SeenVersion {
+        self.0.entry(version).or_insert(SeenVersion {
+            is_listed: false,
+            longest_lifetime: VERSION_MEMORY,
+            resumable_until: MonotonicTime::ZERO,
+        })
+    }
+
+    /// Records that a stream began at a version. Returns whether its caller may come back later than those before it.
+    pub(crate) fn record_stream(&mut self, version: &UpstreamVersion, lifetime: Duration) -> bool {
+        let Some(seen) = self.0.get_mut(version) else {
+            return false;
+        };
+        let is_longest = lifetime > seen.longest_lifetime;
+        if is_longest {
+            // With room for longer ones, so that callers with slowly growing deadlines do not change it each time.
+            seen.longest_lifetime = lifetime + lifetime / 2;
+        }
+        is_longest
+    }
+
+    /// Adds the versions that other nodes have seen. What was listed when they were written may have left since.
+    pub(crate) fn restore(&mut self, now: MonotonicTime, versions: &[RecentVersion]) {
+        for restored in versions {
+            let seen = self.entry(restored.version.clone());
+            let until = now + restored.resumable_for;
+            seen.resumable_until = seen.resumable_until.max(until);
+            seen.longest_lifetime = seen.longest_lifetime.max(restored.resumable_for);
+        }
     }
 
     /// The versions at which a stream may have begun that a caller may still resume.
-    fn recent(&self, now: MonotonicTime) -> impl Iterator<Item = &UpstreamVersion> {
-        let recent = self.last_seen.iter().filter(move |(version, seen_at)| {
-            self.listed.contains(*version) || now < **seen_at + VERSION_MEMORY
+    pub(crate) fn recent(&self, now: MonotonicTime) -> Vec<RecentVersion> {
+        let recent = self.0.iter().filter(|(_, seen)| seen.is_recent(now));
+        let recent = recent.map(|(version, seen)| RecentVersion {
+            version: version.clone(),
+            is_listed: seen.is_listed,
+            resumable_for: if seen.is_listed {
+                seen.longest_lifetime
+            } else {
+                seen.resumable_until - now
+            },
         });
-        recent.map(|(version, _)| version)
+        recent.collect()
     }
 
     /// Whether streams that may still be resumed may have begun at several versions.
     pub(crate) fn are_several(&self, now: MonotonicTime) -> bool {
-        self.recent(now).nth(1).is_some()
+        let recent = self.0.values().filter(|seen| seen.is_recent(now));
+        recent.count() > 1
     }
 
     /// Returns the version at which all streams began that may still be resumed, if there is only one.
     pub(crate) fn only(&self, now: MonotonicTime) -> Option<&UpstreamVersion> {
-        let mut recent = self.recent(now);
-        let first = recent.next();
-        first.filter(|_| recent.next().is_none())
+        let mut recent = self.0.iter().filter(|(_, seen)| seen.is_recent(now));
+        let (first, _) = recent.next()?;
+        recent.next().is_none().then_some(first)
+    }
+
+    /// Drops the versions whose streams can't be resumed any more.
+    pub(crate) fn expire(&mut self, now: MonotonicTime) {
+        self.0.retain(|_, seen| seen.is_recent(now));
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl SeenVersion {
+    fn is_recent(&self, now: MonotonicTime) -> bool {
+        self.is_listed || now < self.resumable_until
     }
 }
--- a/crates/dragonflystep_dispatch/tests/stream_versions.rs
+++ b/crates/dragonflystep_dispatch/tests/stream_versions.rs
@@ -4,9 +4,9 @@
 
 use {
     dragonflystep_dispatch::{
-        Dispatcher, Event, RefusalReason, RolloutOrder, RolloutPhase, RunId, RunOutcome, RunReport,
-        SlotDecision, SlotRequest, StreamId, StreamProgress, StreamTry, StreamVersion, Upstream,
-        UpstreamPhase,
+        Dispatcher, Event, RecentVersion, RefusalReason, RolloutOrder, RolloutPhase, RunId,
+        RunOutcome, RunReport, SlotDecision, SlotRequest, StartVersion, StreamId, StreamProgress,
+        StreamTry, StreamVersion, Upstream, UpstreamPhase, VersionHistory,
     },
     std::{collections::HashMap, time::Duration},
     support::{
@@ -30,13 +30,34 @@
     upstreams.collect()
 }
 
-/// An owner of upstreams of the given versions, which it has known for long enough to grant slots at all of them.
+/// An owner of upstreams of the given versions, which it has known for long enough to grant slots at all of them. No others
+/// were there before.
 fn owner(versions: &[&str]) -> Dispatcher {
+    let mut owner = started_owner(versions);
+    owner.reduce(Duration::ZERO, history(&[]));
+    owner
+}
+
+/// The same, but it has only just started and does not know what was there before.
+fn started_owner(versions: &[&str]) -> Dispatcher {
     let mut owner = dispatcher(0, SLOTS);
     owner.reduce(Duration::ZERO, Event::UpstreamsChanged(upstreams(versions)));
     owner
 }
 
+/// What the platform kept: all versions of the last time, each with the seconds for which its streams may be resumed.
+fn history(versions: &[(&str, u64)]) -> Event {
+    let versions = versions.iter().map(|(version, seconds)| RecentVersion {
+        version: (*version).into(),
+        is_listed: false,
+        resumable_for: Duration::from_secs(*seconds),
+    });
+    Event::VersionHistoryRestored(VersionHistory {
+        services: [(SERVICE.into(), versions.collect())].into(),
+        is_complete: true,
+    })
+}
+
 fn stream_request(run: RunId, id: StreamId, progress: StreamProgress) -> SlotRequest {
     SlotRequest {
         stream: Some(StreamTry {
@@ -53,19 +74,13 @@
 }
 
 fn resumed(run: RunId, id: StreamId) -> SlotRequest {
-    let progress = StreamProgress::Resumed {
-        version: None,
-        saw_several_versions: false,
-    };
-    stream_request(run, id, progress)
+    let start = StartVersion::Unknown { saw_several: false };
+    stream_request(run, id, StreamProgress::Resumed(start))
 }
 
 fn resumed_at(run: RunId, id: StreamId, version: &str) -> SlotRequest {
-    let progress = StreamProgress::Resumed {
-        version: Some(version.into()),
-        saw_several_versions: true,
-    };
-    stream_request(run, id, progress)
+    let start = StartVersion::Recorded(version.into());
+    stream_request(run, id, StreamProgress::Resumed(start))
 }
 
 fn ended(run: RunId, outcome: RunOutcome) -> Event {
@@ -136,11 +151,9 @@
 fn a_stream_that_nobody_knows_goes_on_only_if_there_was_one_version_for_certain() {
     let mut owner = owner(&["v1", "v1"]);
     granted_upstream(request_slot(&mut owner, START, resumed(1, 7)));
-    let progress = StreamProgress::Resumed {
-        version: None,
-        saw_several_versions: true,
-    };
-    let decision = request_slot(&mut owner, START, stream_request(2, 8, progress));
+    let start = StartVersion::Unknown { saw_several: true };
+    let again = stream_request(2, 8, StreamProgress::Resumed(start));
+    let decision = request_slot(&mut owner, START, again);
     assert_eq!(
         refusal(decision).reason,
         RefusalReason::StreamVersionUnknown
@@ -151,8 +164,141 @@
         refusal(decision).reason,
         RefusalReason::StreamVersionUnknown
     );
+    // Versions may have come and gone meanwhile.
     owner.reduce(START, Event::RegistryFreshnessChanged(true));
-    granted_upstream(request_slot(&mut owner, START, resumed(4, 9)));
+    let decision = request_slot(&mut owner, START, resumed(4, 9));
+    assert_eq!(
+        refusal(decision).reason,
+        RefusalReason::StreamVersionUnknown
+    );
+    owner.reduce(START, history(&[]));
+    granted_upstream(request_slot(&mut owner, START, resumed(5, 9)));
+}
+
+#[test]
+fn a_node_that_has_just_started_does_not_take_the_version_that_it_sees_for_the_only_one() {
+    let mut owner = started_owner(&["v2"]);
+    let decision = request_slot(&mut owner, START, resumed(1, 7));
+    assert_eq!(
+        refusal(decision).reason,
+        RefusalReason::StreamVersionUnknown
+    );
+    owner.reduce(START, history(&[("v1", 10)]));
+    let decision = request_slot(&mut owner, START, resumed(2, 7));
+    assert_eq!(
+        refusal(decision).reason,
+        RefusalReason::StreamVersionUnknown,
+        "the other version left just before"
+    );
+    let later = START + Duration::from_secs(11);
+    granted_upstream(request_slot(&mut owner, later, resumed(3, 7)));
+}
+
+#[test]
+fn a_node_knows_of_all_versions_once_it_has_followed_the_registry_for_long_enough() {
+    let mut owner = started_owner(&["v1"]);
+    let soon = Duration::from_secs(20);
+    let decision = request_slot(&mut owner, soon, resumed(1, 7));
+    assert_eq!(
+        refusal(decision).reason,
+        RefusalReason::StreamVersionUnknown
+    );
+    let later = Duration::from_secs(31);
+    granted_upstream(request_slot(&mut owner, later, resumed(2, 7)));
+}
+
+#[test]
+fn an_owner_that_has_just_started_relies_on_an_entry_node_that_has_seen_one_version_alone() {
+    let only = |run| {
+        let start = StartVersion::Only("v1".into());
+        stream_request(run, 7, StreamProgress::Resumed(start))
+    };
+    let mut owner = started_owner(&["v1"]);
+    granted_upstream(request_slot(&mut owner, START, only(1)));
+    let mut owner = started_owner(&["v1", "v2"]);
+    let decision = request_slot(&mut owner, START, only(1));
+    assert_eq!(
+        refusal(decision).reason,
+        RefusalReason::StreamVersionUnknown,
+        "the owner sees a version of which the entry node does not know yet"
+    );
+}
+
+#[test]
+fn a_stream_whose_caller_waits_for_long_is_not_joined_with_a_later_version() {
+    let mut owner = owner(&["v1"]);
+    let patient = SlotRequest {
+        stream: Some(StreamTry {
+            id: 7,
+            caller_time_left: Duration::from_secs(300),
+            progress: StreamProgress::New,
+        }),
+        ..plain_request(1, 0)
+    };
+    granted_upstream(request_slot(&mut owner, START, patient));
+    owner.reduce(START, Event::UpstreamsChanged(upstreams(&["v2"])));
+    let later = START + Duration::from_secs(200);
+    // Nobody remembers this one.
+    let decision = request_slot(&mut owner, later, resumed(2, 8));
+    assert_eq!(
+        refusal(decision).reason,
+        RefusalReason::StreamVersionUnknown
+    );
+}
+
+#[test]
+fn what_the_platform_kept_of_a_stream_is_older_than_what_a_node_granted() {
+    let mut owner = owner(&["v1", "v2"]);
+    let restored = |version: &str| StreamVersion {
+        stream: 7,
+        version: version.into(),
+        lifetime: LIFETIME,
+    };
+    let kept = vec![restored("v1"), restored("v2")];
+    owner.reduce(START, Event::StreamsRestored(kept));
+    let decision = request_slot(&mut owner, START, resumed(1, 7));
+    assert_eq!(
+        granted_upstream(decision),
+        "engine-1",
+        "the last one counts"
+    );
+    owner.reduce(START, Event::StreamsRestored(vec![restored("v1")]));
+    let decision = request_slot(&mut owner, START, resumed(2, 7));
+    assert_eq!(granted_upstream(decision), "engine-1");
+}
+
+#[test]
+fn streams_are_kept_by_the_platform_only_while_there_are_several_versions() {
+    let mut owner = owner(&["v1", "v1"]);
+    granted_upstream(request_slot(&mut owner, START, new_stream(1, 7)));
+    assert!(!owner.has_unstored_streams());
+    owner.reduce(
+        START,
+        Event::UpstreamsChanged(upstreams(&["v1", "v1", "v2"])),
+    );
+    let kept = owner.take_unstored_streams(START, 10);
+    assert!(kept.iter().any(|it| it.stream == 7 && &*it.version == "v1"));
+    assert!(!owner.has_unstored_streams());
+    owner.mark_unstored([7].into_iter());
+    assert!(owner.has_unstored_streams(), "the write failed");
+}
+
+#[test]
+fn a_stream_that_begins_again_at_another_version_is_kept_at_once() {
+    let mut owner = owner(&["v1", "v2"]);
+    let first = granted_upstream(request_slot(&mut owner, START, new_stream(1, 7)));
+    owner.take_unstored_streams(START, 10);
+    owner.reduce(START, ended(1, RunOutcome::Broken));
+    assert!(!owner.has_replaced_streams());
+    let again = SlotRequest {
+        excluded_upstreams: vec![first.as_str().into()],
+        previous_attempts: 1,
+        ..new_stream(2, 7)
+    };
+    granted_upstream(request_slot(&mut owner, START, again));
+    assert!(owner.has_replaced_streams());
+    owner.take_unstored_streams(START, 10);
+    assert!(!owner.has_replaced_streams());
 }
 
 #[test]
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod held_bytes;
 mod job;
 mod job_end;
+mod kept_streams;
 mod left_upstreams;
 mod limits;
 mod list_fetch;
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -98,6 +98,17 @@
 /// which a stream need not be known.
 pub(crate) const STREAM_COPY_DELAY: Duration = Duration::from_millis(25);
 
+/// Time for which the owner collects streams before the platform keeps them. A call costs money; what is not kept yet is lost
+/// only if all nodes fail, and most such streams have no event yet.
+pub(crate) const STREAM_KEEPING_DELAY: Duration = Duration::from_millis(250);
+
+/// Maximum number of streams that the platform keeps in one write; some 12 KB.
+pub(crate) const MAX_STREAMS_PER_WRITE: usize = 1_000;
+
+/// Longest time for which a resumed stream waits until the owner has read what the platform keeps of streams; many times what
+/// the platform takes for an answer.
+pub(crate) const RESTORE_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Interval at which the owner processes its queue while requests wait there.
 pub(crate) const BUSY_TICK: Duration = Duration::from_millis(25);
 
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -195,6 +195,11 @@
         self.views.catalogue_version()
     }
 
+    /// The number drawn at this start of the node.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Whether the whole system starts for the first time.
     pub fn is_first_start(&self) -> bool {
         self.settings.is_first_start
--- a/crates/dragonflystep_edge/src/node/run.rs
+++ b/crates/dragonflystep_edge/src/node/run.rs
@@ -6,6 +6,7 @@
         crash_reports::publish_refused_content,
         dialect::Dialect,
         exchange::{exchange_views, watch_visibility},
+        kept_streams::{keep_granted_streams, keep_version_history, restore_kept_streams},
         peer_service::serve_peers,
         platform::Platform,
         rollouts::publish_rollouts,
@@ -39,6 +40,9 @@
     stop_requested: impl Future<Output = Result<(), NodeError>>,
 ) -> Result<(), NodeError> {
     let node = Rc::new(Node::new(settings, dialect, network.clone()));
+    if node.is_first_start() {
+        node.skip_restoration();
+    }
     let started = Instant::now();
     let addresses = &node.settings;
     let ingress = network.listen_for_callers(addresses.ingress).await;
@@ -74,6 +78,9 @@
     spawn_local(close_unused_connections(node.clone()));
     spawn_local(publish_rollouts(node.clone(), platform.clone()));
     spawn_local(publish_refused_content(node.clone(), platform.clone()));
+    spawn_local(restore_kept_streams(node.clone(), platform.clone()));
+    spawn_local(keep_granted_streams(node.clone(), platform.clone()));
+    spawn_local(keep_version_history(node.clone(), platform.clone()));
     spawn_local(platform.clone().follow(node.clone()));
     log::info!(ingress:% = node.settings.ingress, incarnation = node.incarnation, is_first_start = node.settings.is_first_start; "node started");
     stop_requested.await?;
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        kept_streams::Restoration,
         limits::{BUSY_TICK, IDLE_TICK, SUMMARY_LOG_INTERVAL},
         metrics::Metrics,
         rollouts::Rollouts,
@@ -11,7 +12,7 @@
         ActiveRun, ContentChange, ContentKey, CrashEvidence, Dispatcher, Effect, Event, Grant,
         MonotonicTime, NodeIncarnation, PoolSummary, RefusalReason, RunId, RunOutcome, RunReport,
         ServiceName, SharedLimits, SlotDecision, SlotRequest, StreamId, StreamVersion, UpstreamId,
-        UpstreamNotice, UpstreamVersion, Visibility, node_incarnation_of,
+        UpstreamNotice, UpstreamVersion, VersionHistory, Visibility, node_incarnation_of,
     },
     std::{
         cell::{Cell, RefCell},
@@ -45,6 +46,13 @@
     pub(crate) refused_content_changed: Notify,
     /// Notified when slots were granted to streams that other nodes have to know of.
     pub(crate) streams_granted: Notify,
+    /// Notified when the platform has to keep streams.
+    pub(crate) streams_unkept: Notify,
+    /// Notified when the platform keeps a stream at another version than the one at which it was granted last.
+    pub(crate) streams_replaced: Notify,
+    /// Notified when the software versions of a service changed.
+    pub(crate) versions_changed: Notify,
+    pub(crate) restoration: Restoration,
     is_registry_fresh: Cell<bool>,
 }
 
@@ -69,6 +77,10 @@
             metrics,
             refused_content_changed: Notify::new(),
             streams_granted: Notify::new(),
+            streams_unkept: Notify::new(),
+            streams_replaced: Notify::new(),
+            versions_changed: Notify::new(),
+            restoration: Restoration::default(),
             is_registry_fresh: Cell::new(true),
         }
     }
@@ -100,6 +112,15 @@
         if dispatcher.has_granted_streams() {
             self.streams_granted.notify_one();
         }
+        if dispatcher.has_unstored_streams() {
+            self.streams_unkept.notify_one();
+        }
+        if dispatcher.has_replaced_streams() {
+            self.streams_replaced.notify_one();
+        }
+        if dispatcher.take_versions_changed() {
+            self.versions_changed.notify_one();
+        }
         drop(dispatcher);
         for back_off in back_offs {
             let node_start = node_incarnation_of(back_off.run);
@@ -156,9 +177,70 @@
     pub(crate) fn set_registry_fresh(&self, is_fresh: bool) {
         if self.is_registry_fresh.replace(is_fresh) != is_fresh {
             self.apply(Event::RegistryFreshnessChanged(is_fresh));
+            if is_fresh && self.needs_version_history() {
+                self.restoration.request();
+            }
         }
     }
 
+    /// Whether this node does not know which software versions the upstreams had lately.
+    fn needs_version_history(&self) -> bool {
+        self.dispatcher.borrow().needs_version_history(self.now())
+    }
+
+    /// The software versions that the upstreams of each service had lately.
+    pub(crate) fn version_history(&self) -> VersionHistory {
+        self.dispatcher.borrow().version_history(self.now())
+    }
+
+    /// The version at which all streams of a service began that may still be resumed; none if there are several or if this node
+    /// can't know of all.
+    pub(crate) fn only_version(&self, service: &str) -> Option<UpstreamVersion> {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.only_version(self.now(), service).cloned()
+    }
+
+    /// Up to `limit` of the streams that the platform has to keep and does not keep yet.
+    pub(crate) fn take_unkept_streams(&self, limit: usize) -> Vec<StreamVersion> {
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.take_unstored_streams(self.now(), limit)
+    }
+
+    /// Marks streams that could not be written as not kept.
+    pub(crate) fn mark_streams_unkept(&self, streams: impl Iterator<Item = StreamId>) {
+        self.dispatcher.borrow_mut().mark_unstored(streams);
+        self.streams_unkept.notify_one();
+    }
+
+    /// Marks all streams for which this node granted slots as not kept.
+    pub(crate) fn mark_all_streams_unkept(&self) {
+        self.dispatcher.borrow_mut().mark_granted_unstored();
+        self.streams_unkept.notify_one();
+    }
+
+    /// Lets a request that resumes a stream wait until it is known at which software version that began, if the platform is
+    /// being asked. Logs what is known then.
+    async fn find_version(&self, request: &SlotRequest) {
+        let Some(stream) = request.resumed_stream() else {
+            return;
+        };
+        let evidence = || {
+            let dispatcher = self.dispatcher.borrow();
+            dispatcher.evidence_of_version(self.now(), request)
+        };
+        let mut found = evidence();
+        if found.is_none() {
+            self.restoration.wait().await;
+            found = evidence();
+        }
+        let (version, evidence) = match &found {
+            Some((version, evidence)) => (&**version, evidence.name()),
+            None => ("", "none"),
+        };
+        self.metrics.count("resumed_versions_total", evidence);
+        log::info!(run = request.run, service:% = request.service, stream, version, evidence; "the version of a resumed stream");
+    }
+
     /// The software version at which a stream began; none if this node does not know it.
     pub(crate) fn stream_version(&self, stream: StreamId) -> Option<UpstreamVersion> {
         let dispatcher = self.dispatcher.borrow();
@@ -275,6 +357,7 @@
 
     /// Requests a slot and waits for the decision; dropping the future withdraws the request.
     pub(crate) async fn request_slot(self: Rc<Self>, request: SlotRequest) -> SlotDecision {
+        self.find_version(&request).await;
         let (sender, receiver) = oneshot::channel();
         let mut guard = WithdrawGuard {
             owner: self.clone(),
--- a/crates/dragonflystep_edge/src/platform.rs
+++ b/crates/dragonflystep_edge/src/platform.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::node::Node,
-    dragonflystep_dispatch::{CrashEvidence, RolloutStep},
+    dragonflystep_dispatch::{CrashEvidence, RolloutStep, StreamVersion, VersionHistory},
     std::{future::Future, pin::Pin, rc::Rc},
 };
 
@@ -29,6 +29,22 @@
         refused: CrashEvidence,
     ) -> PlatformFuture;
 
+    /// Reads what the platform keeps of streams and passes it to [`Node::restore_streams`]. Completes once it is read; reports
+    /// the first failure to [`Node::record_restore_failure`].
+    fn restore_streams(self: Rc<Self>, node: Rc<Node>) -> PlatformFuture;
+
+    /// Keeps at which software versions streams began, until they can't be resumed any more. Completes once they are written,
+    /// or were passed to [`Node::mark_streams_unkept`] because they could not be.
+    fn keep_streams(self: Rc<Self>, node: Rc<Node>, streams: Vec<StreamVersion>) -> PlatformFuture;
+
+    /// Keeps which software versions the upstreams of each service had lately, beside those that are kept already. Completes
+    /// once they are written or are no longer current.
+    fn keep_version_history(
+        self: Rc<Self>,
+        node: Rc<Node>,
+        history: VersionHistory,
+    ) -> PlatformFuture;
+
     /// Removes the node from the platform's list before it stops.
     fn withdraw(self: Rc<Self>, node: Rc<Node>) -> PlatformFuture;
 }
--- a/crates/dragonflystep_edge/src/stream_try.rs
+++ b/crates/dragonflystep_edge/src/stream_try.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{attempts::Attempts, job::Job, limits::DEFAULT_TIME_LEFT, stream_versions::stream_id},
-    dragonflystep_dispatch::{RouteKind, StreamProgress, StreamTry},
+    dragonflystep_dispatch::{RouteKind, StartVersion, StreamProgress, StreamTry},
 };
 
 impl Job {
@@ -25,10 +25,16 @@
         let owner = &self.node.owner;
         let progress = if attempts.stream_version.is_some() || self.is_resumed() {
             let known = attempts.stream_version.clone();
-            StreamProgress::Resumed {
-                version: known.or_else(|| owner.stream_version(id)),
-                saw_several_versions: owner.has_several_versions(&self.service),
-            }
+            let recorded = known.or_else(|| owner.stream_version(id));
+            StreamProgress::Resumed(match recorded {
+                Some(version) => StartVersion::Recorded(version),
+                None => match owner.only_version(&self.service) {
+                    Some(version) => StartVersion::Only(version),
+                    None => StartVersion::Unknown {
+                        saw_several: owner.has_several_versions(&self.service),
+                    },
+                },
+            })
         } else {
             StreamProgress::New
         };
--- a/crates/dragonflystep_edge/src/stream_versions.rs
+++ b/crates/dragonflystep_edge/src/stream_versions.rs
@@ -47,8 +47,12 @@
 
     /// Sends all known streams to nodes that have become keepers, if this node is the owner or was it until now.
     pub(crate) fn update_stream_keepers(&self) {
-        let is_owner = self.is_current_owner();
+        // Before it knows a list of nodes, each node takes itself for the owner.
+        let is_owner = self.members_version() > 0 && self.is_current_owner();
         let was_owner = self.was_owner.replace(is_owner);
+        if is_owner && !was_owner && !self.is_system_starting() {
+            self.owner.restoration.request();
+        }
         let keepers = self.stream_keepers();
         let before = self.last_stream_keepers.replace(keepers.clone());
         if !self.owner.shares_streams() || !(is_owner || was_owner) {
--- a/crates/dragonflystep_peer/src/stream_codec.rs
+++ b/crates/dragonflystep_peer/src/stream_codec.rs
@@ -6,22 +6,27 @@
         peer_capnp::{ask, version_streams},
     },
     capnp::struct_list,
-    dragonflystep_dispatch::{StreamProgress, StreamTry, StreamVersion, UpstreamVersion},
+    dragonflystep_dispatch::{
+        StartVersion, StreamProgress, StreamTry, StreamVersion, UpstreamVersion,
+    },
     std::{collections::BTreeMap, time::Duration},
 };
 
 pub(crate) fn encode_stream_try(stream: &StreamTry, mut out: ask::Builder<'_>) {
     out.set_stream(stream.id);
     out.set_caller_time_left_ms(to_ms(stream.caller_time_left));
-    if let StreamProgress::Resumed {
-        version,
-        saw_several_versions,
-    } = &stream.progress
-    {
-        out.set_is_resumed(true);
-        out.set_stream_version(version.as_deref().unwrap_or(""));
-        out.set_saw_several_versions(*saw_several_versions);
-    }
+    let StreamProgress::Resumed(start) = &stream.progress else {
+        return;
+    };
+    // A node that remembers the version may have seen others; one that saw no other concluded it from that.
+    let (version, saw_several) = match start {
+        StartVersion::Recorded(version) => (&**version, true),
+        StartVersion::Only(version) => (&**version, false),
+        StartVersion::Unknown { saw_several } => ("", *saw_several),
+    };
+    out.set_is_resumed(true);
+    out.set_stream_version(version);
+    out.set_saw_several_versions(saw_several);
 }
 
 pub(crate) fn decode_stream_try(input: ask::Reader<'_>) -> Result<Option<StreamTry>, PeerError> {
@@ -30,10 +35,12 @@
     }
     let version = input.get_stream_version()?.to_str()?;
     let progress = if input.get_is_resumed() {
-        StreamProgress::Resumed {
-            version: (!version.is_empty()).then(|| version.into()),
-            saw_several_versions: input.get_saw_several_versions(),
-        }
+        let saw_several = input.get_saw_several_versions();
+        StreamProgress::Resumed(match (version, saw_several) {
+            ("", saw_several) => StartVersion::Unknown { saw_several },
+            (version, true) => StartVersion::Recorded(version.into()),
+            (version, false) => StartVersion::Only(version.into()),
+        })
     } else {
         StreamProgress::New
     };
