Restore what the platform keeps of streams again only once such a stream is resumed

A node that missed changes of the registry would have read the table at once, also where it owns nothing: each node of a large system after each outage of the store.

--- a/crates/dragonflystep_dispatch/src/dispatcher/streams.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/streams.rs
@@ -145,10 +145,11 @@
 
     /// Returns whether the software versions of a service changed since the last call.
     pub fn take_versions_changed(&mut self) -> bool {
-        let pools = self.pools.values_mut();
-        pools.fold(false, |has_changed, pool| {
-            std::mem::take(&mut pool.have_versions_changed) || has_changed
-        })
+        let mut have_changed = false;
+        for pool in self.pools.values_mut() {
+            have_changed |= std::mem::take(&mut pool.have_versions_changed);
+        }
+        have_changed
     }
 
     /// Whether streams of some service may have begun at several software versions, so that other nodes need copies of what
--- a/crates/dragonflystep_edge/src/kept_streams.rs
+++ b/crates/dragonflystep_edge/src/kept_streams.rs
@@ -27,7 +27,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RestorationPhase {
-    /// Nothing was restored since this node started.
+    /// Nothing was restored since this node started, or since it missed changes of the registry.
     NotBegun,
     /// The platform has been asked and has not answered yet.
     Running,
@@ -61,6 +61,14 @@
         self.phase.set(RestorationPhase::Done);
     }
 
+    /// Records that what was restored is incomplete by now, so that it is restored again once a stream is resumed that this node
+    /// does not know.
+    pub(crate) fn invalidate(&self) {
+        if self.phase.get() == RestorationPhase::Done {
+            self.phase.set(RestorationPhase::NotBegun);
+        }
+    }
+
     /// Requests that what the platform keeps is restored, again if it was restored before.
     pub(crate) fn request(&self) {
         if self.phase.get() != RestorationPhase::Failing {
--- a/crates/dragonflystep_edge/src/owner.rs
+++ b/crates/dragonflystep_edge/src/owner.rs
@@ -178,7 +178,7 @@
         if self.is_registry_fresh.replace(is_fresh) != is_fresh {
             self.apply(Event::RegistryFreshnessChanged(is_fresh));
             if is_fresh && self.needs_version_history() {
-                self.restoration.request();
+                self.restoration.invalidate();
             }
         }
     }
