Leave out events that a caller has when it resumes a stream

Cause: the caller's side of a stream knew only the events of its own answer; the id that the caller names was passed to the upstream and not compared. The class: a fact that arrives with a request was used for one thing only. Ruled out: a node's own resume and one from a copy left such events out before (green on the code before). A stream that may not be resumed is passed on as it is, whatever its caller names: its run is none that goes on.

--- a/crates/dragonflystep_edge/src/caller_stream.rs
+++ b/crates/dragonflystep_edge/src/caller_stream.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         answer::IncompleteAnswer,
+        event_order::{EventOrder, EventPlace},
         event_stream::StreamEvent,
         held_bytes::{HeldBytes, HeldChunk},
         job::Job,
+        slots::Slot,
     },
     bytes::Bytes,
     dragonflystep_dispatch::RouteKind,
@@ -16,12 +18,15 @@
 /// The caller's side of a stream, which may come from several upstreams in turn.
 pub(crate) struct CallerStream {
     pub(crate) chunks: mpsc::Sender<Result<HeldChunk, IncompleteAnswer>>,
-    /// The id of the last event with an id that was sent to the caller.
-    pub(crate) last_event_id: Option<String>,
+    order: EventOrder,
+    /// Whether an event with an id was sent to the caller.
+    has_sent_ids: bool,
     /// Whether the caller has received only a part of the last event.
     pub(crate) is_inside_event: bool,
     /// Whether the rest of the current event is left out, because the caller already received the event.
     skips_event: bool,
+    /// Whether an event was left out.
+    has_left_out: bool,
     /// Time from the arrival of the request to the first event of an upstream. Each further upstream that sends an
     /// event replaces it.
     pub(crate) first_event_after: Option<Duration>,
@@ -30,27 +35,46 @@
 }
 
 impl CallerStream {
-    pub(crate) fn new(chunks: mpsc::Sender<Result<HeldChunk, IncompleteAnswer>>) -> Self {
+    /// A stream of which the caller has the events up to `received`; none if it has none.
+    pub(crate) fn new(
+        chunks: mpsc::Sender<Result<HeldChunk, IncompleteAnswer>>,
+        received: Option<String>,
+    ) -> Self {
         Self {
             chunks,
-            last_event_id: None,
+            order: EventOrder::after(received),
+            has_sent_ids: false,
             is_inside_event: false,
             skips_event: false,
+            has_left_out: false,
             first_event_after: None,
             longest_pause: Duration::ZERO,
         }
     }
 
-    /// Sends an event to the caller, unless the caller already received it from an earlier upstream.
+    /// The id of the last event that the caller has, from this answer or an earlier one; none if it has none with an id.
+    pub(crate) fn last_event_id(&self) -> Option<&str> {
+        self.order.last_id()
+    }
+
+    /// The same if the event was sent in this answer.
+    pub(crate) fn last_sent_id(&self) -> Option<&str> {
+        self.last_event_id().filter(|_| self.has_sent_ids)
+    }
+
+    /// Sends an event of the run in `slot` to the caller, unless the caller already received it from an earlier run.
     pub(crate) async fn forward(
         &mut self,
-        held_bytes: &HeldBytes,
+        job: &Job,
+        slot: &Slot,
         event: StreamEvent,
     ) -> Result<(), IncompleteAnswer> {
-        if let Some(id) = event.id {
-            self.skips_event = self.has_received(&id);
-            if !self.skips_event {
-                self.last_event_id = Some(id);
+        if let Some(id) = &event.id {
+            self.skips_event = self.order.place(id) == EventPlace::Received;
+            if self.skips_event {
+                self.note_repeated(job, slot, id);
+            } else {
+                self.has_sent_ids = true;
             }
         }
         if self.skips_event {
@@ -58,7 +82,17 @@
             return Ok(());
         }
         self.is_inside_event = !event.is_end;
-        self.forward_rest(held_bytes, event.bytes).await
+        self.forward_rest(&job.node.held_bytes, event.bytes).await
+    }
+
+    /// Counts an event that is left out, and logs the first one of a stream.
+    fn note_repeated(&mut self, job: &Job, slot: &Slot, id: &str) {
+        job.node.metrics.count("stream_pieces_total", "repeated");
+        if std::mem::replace(&mut self.has_left_out, true) {
+            return;
+        }
+        let last_event_id = self.last_event_id().unwrap_or("");
+        log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, last_event_id, event_id = id; "an upstream sends events that the caller has; they are left out");
     }
 
     /// Sends bytes to the caller that belong to the current event, or follow the last one.
@@ -89,15 +123,4 @@
             .is_some_and(|after| after <= job.route.objective);
         is_first_event_in_time && self.longest_pause <= longest_pause
     }
-
-    /// Whether the caller has already received the event `id`. Numeric ids are taken to increase from event to event;
-    /// other ids are compared with that of the last event only.
-    fn has_received(&self, id: &str) -> bool {
-        let last = self.last_event_id.as_deref();
-        let number = |text: &str| text.parse::<u64>().ok();
-        match (last.and_then(number), number(id)) {
-            (Some(last), Some(id)) => id <= last,
-            _ => last == Some(id),
-        }
-    }
 }
--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -54,7 +54,7 @@
 ) -> Option<Relay> {
     let source = attempts.last_grant.take()?;
     let copy = source.copy.clone()?;
-    if attempts.has_continued || caller.last_event_id.is_none() {
+    if attempts.has_continued || caller.last_sent_id().is_none() {
         return None;
     }
     let result = try_to_continue(job, attempts, caller, &source, &copy).await;
@@ -99,7 +99,7 @@
     }
     attempts.count_sent(&slot.grant);
     let resume = ResumePoint {
-        after: caller.last_event_id.clone(),
+        after: caller.last_event_id().map(str::to_owned),
         copy: Some(name),
     };
     let outcome = tokio::select! {
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod dialect;
 mod entry_runs;
 mod evacuations;
+mod event_order;
 mod event_stream;
 mod exchange;
 mod framing_check;
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -135,7 +135,7 @@
         let mut answer = Response::new(AnswerBody::Streamed(chunks));
         *answer.status_mut() = head.status;
         *answer.headers_mut() = end_to_end_headers(&head.headers);
-        let caller = CallerStream::new(sender);
+        let caller = CallerStream::new(sender, job.received_events().map(str::to_owned));
         spawn_local(relay_stream(self, job, attempts, caller));
         answer
     }
@@ -210,7 +210,7 @@
                             attempts.stream_version = Some(self.slot.version());
                         }
                         // A caller that does not read holds memory for no longer than it may wait.
-                        let forwarding = caller.forward(held_bytes, event);
+                        let forwarding = caller.forward(job, &self.slot, event);
                         let end = match timeout_at(ends_at, forwarding).await {
                             Ok(Ok(())) => continue,
                             Ok(Err(IncompleteAnswer)) => RelayEnd::CallerDisconnected,
@@ -335,7 +335,7 @@
         };
         slot.drop_unusable_copy();
         attempts.count_sent(&slot.grant);
-        let after = caller.last_event_id.clone();
+        let after = caller.last_event_id().map(str::to_owned);
         let resume = ResumePoint {
             after: after.or_else(|| job.facts.last_event_id.clone()),
             copy: None,
--- a/crates/dragonflystep_edge/src/stream_try.rs
+++ b/crates/dragonflystep_edge/src/stream_try.rs
@@ -59,4 +59,19 @@
         let last_event_id = self.facts.last_event_id.as_ref();
         last_event_id.is_some_and(|id| !id.is_empty())
     }
+
+    /// The id of the last event that the caller has of a stream that it resumes; none if it begins one, or if the stream may
+    /// not be resumed, so that its answer is passed on as it is.
+    pub(crate) fn received_events(&self) -> Option<&str> {
+        let RouteKind::Stream {
+            is_resumable: true, ..
+        } = self.route.kind
+        else {
+            return None;
+        };
+        self.facts
+            .last_event_id
+            .as_deref()
+            .filter(|_| self.is_resumed())
+    }
 }
