Take no run for the whole stream that ends before what its caller has

Cause: a regular end of a body between two events was the end of the stream, whatever events the run had brought. Events of one run say how far it came. Ruled out: a run that brings nothing after the caller's last event and ends is whole, as the run before may have broken off just before its end. It counts as failed, not as broken off: the upstream answered. The log names the upstream, stream_pieces_total counts ended_early.

--- a/crates/dragonflystep_edge/src/caller_stream.rs
+++ b/crates/dragonflystep_edge/src/caller_stream.rs
@@ -62,6 +62,17 @@
         self.last_event_id().filter(|_| self.has_sent_ids)
     }
 
+    /// The next events are those of another run.
+    pub(crate) fn begin_run(&mut self) {
+        self.order.begin_run();
+        self.skips_event = false;
+    }
+
+    /// Whether the run that ends now lags behind what the caller has.
+    pub(crate) fn is_run_behind(&self) -> bool {
+        self.order.is_behind()
+    }
+
     /// Sends an event of the run in `slot` to the caller, unless the caller already received it from an earlier run.
     pub(crate) async fn forward(
         &mut self,
--- a/crates/dragonflystep_edge/src/event_order.rs
+++ b/crates/dragonflystep_edge/src/event_order.rs
@@ -14,12 +14,17 @@
 pub(crate) struct EventOrder {
     /// The id of the last event that the caller has; none if it has none with an id.
     last_id: Option<String>,
+    /// The number of the current run's last event; none before the first one with a number.
+    run_last: Option<u64>,
 }
 
 impl EventOrder {
     /// A stream of which the caller has the events up to `last_id`.
     pub(crate) fn after(last_id: Option<String>) -> Self {
-        Self { last_id }
+        Self {
+            last_id,
+            ..Self::default()
+        }
     }
 
     /// The id of the last event that the caller has.
@@ -27,9 +32,21 @@
         self.last_id.as_deref()
     }
 
+    /// The next events are those of another run.
+    pub(crate) fn begin_run(&mut self) {
+        self.run_last = None;
+    }
+
+    /// Whether the current run lags behind what the caller has. If it ends there, it is not the whole stream.
+    pub(crate) fn is_behind(&self) -> bool {
+        let last = self.last_id().and_then(number);
+        matches!((self.run_last, last), (Some(run), Some(last)) if run < last)
+    }
+
     /// Places the next event of the current run; the caller has it afterwards if it is the next one. Numeric ids are taken to
     /// increase from event to event; other ids are compared with that of the last event only.
     pub(crate) fn place(&mut self, id: &str) -> EventPlace {
+        self.run_last = number(id).or(self.run_last);
         let is_received = match (self.last_id().and_then(number), number(id)) {
             (Some(last), Some(id)) => id <= last,
             _ => self.last_id() == Some(id),
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -154,6 +154,7 @@
             .count("answer_bodies_total", framing.name());
         let held_bytes = &job.node.held_bytes;
         let mut splitter = EventSplitter::default();
+        caller.begin_run();
         let mut stats = RunStats::default();
         let mut last_event_at = Duration::ZERO;
         let ends_at = job.deadline + LATE_ANSWER_MARGIN;
@@ -237,6 +238,13 @@
                         self.slot.end(RunOutcome::Broken, stats);
                         return RelayEnd::Broken;
                     }
+                    if caller.is_run_behind() {
+                        let last_event_id = caller.last_event_id().unwrap_or("");
+                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, last_event_id, events = stats.events; "a run ended before the events that the caller has");
+                        job.node.metrics.count("stream_pieces_total", "ended_early");
+                        self.slot.end(RunOutcome::Failed, stats);
+                        return RelayEnd::Broken;
+                    }
                     if !remainder.is_empty()
                         && caller.forward_rest(held_bytes, remainder).await.is_err()
                     {
