Join no run to a stream behind a gap

Cause: only ids that were too low were noticed at the joint of two runs. The class: a joint between two runs was not checked. Decision: ids increase; that they do so by one is not promised, and a false alarm breaks a sound stream. So only joints are judged, where the node itself puts the events of one run behind those of another, and only if the ids of this stream went up by one. A caller that resumes has shown none: there the first event waits for the second one if it is not the next number. If another upstream goes on at the same number, nothing is missing. Within one run ids may leave numbers out, as an upstream may number tokens of which an event holds several.

--- a/crates/dragonflystep_edge/src/caller_stream.rs
+++ b/crates/dragonflystep_edge/src/caller_stream.rs
@@ -15,6 +15,17 @@
     tokio::sync::mpsc,
 };
 
+/// Why an event was not passed on.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ForwardError {
+    /// The caller has disconnected.
+    #[error("the caller has disconnected")]
+    CallerLeft(#[from] IncompleteAnswer),
+    /// Events are missing before this one.
+    #[error("events are missing")]
+    Gap,
+}
+
 /// The caller's side of a stream, which may come from several upstreams in turn.
 pub(crate) struct CallerStream {
     pub(crate) chunks: mpsc::Sender<Result<HeldChunk, IncompleteAnswer>>,
@@ -25,6 +36,8 @@
     pub(crate) is_inside_event: bool,
     /// Whether the rest of the current event is left out, because the caller already received the event.
     skips_event: bool,
+    /// An event that waits until the next one shows that none is missing before it.
+    unproved_event: Option<Bytes>,
     /// Whether an event was left out.
     has_left_out: bool,
     /// Time from the arrival of the request to the first event of an upstream. Each further upstream that sends an
@@ -46,6 +59,7 @@
             has_sent_ids: false,
             is_inside_event: false,
             skips_event: false,
+            unproved_event: None,
             has_left_out: false,
             first_event_after: None,
             longest_pause: Duration::ZERO,
@@ -65,6 +79,7 @@
     /// The next events are those of another run.
     pub(crate) fn begin_run(&mut self) {
         self.order.begin_run();
+        self.unproved_event = None;
         self.skips_event = false;
     }
 
@@ -79,21 +94,54 @@
         job: &Job,
         slot: &Slot,
         event: StreamEvent,
-    ) -> Result<(), IncompleteAnswer> {
-        if let Some(id) = &event.id {
-            self.skips_event = self.order.place(id) == EventPlace::Received;
-            if self.skips_event {
-                self.note_repeated(job, slot, id);
-            } else {
-                self.has_sent_ids = true;
-            }
-        }
-        if self.skips_event {
+    ) -> Result<(), ForwardError> {
+        let place = match &event.id {
+            Some(id) => self.place(job, slot, id)?,
+            None if self.skips_event => EventPlace::Received,
+            None => EventPlace::Next,
+        };
+        if place == EventPlace::Received {
             self.skips_event = !event.is_end;
             return Ok(());
         }
+        self.skips_event = false;
+        // An event that is too long to be held as a whole can't be taken back either.
+        if place == EventPlace::Unproved && event.is_end {
+            self.unproved_event = Some(event.bytes);
+            return Ok(());
+        }
+        self.send_unproved(&job.node.held_bytes).await?;
         self.is_inside_event = !event.is_end;
-        self.forward_rest(&job.node.held_bytes, event.bytes).await
+        self.forward_rest(&job.node.held_bytes, event.bytes).await?;
+        Ok(())
+    }
+
+    /// Sends the event that had to wait until the next one shows that none is missing before it, if there is one.
+    async fn send_unproved(&mut self, held_bytes: &HeldBytes) -> Result<(), IncompleteAnswer> {
+        self.order.join_unproved();
+        match self.unproved_event.take() {
+            Some(bytes) => {
+                self.has_sent_ids = true;
+                self.forward_rest(held_bytes, bytes).await
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn place(&mut self, job: &Job, slot: &Slot, id: &str) -> Result<EventPlace, ForwardError> {
+        let place = self.order.place(id);
+        match place {
+            EventPlace::Received => self.note_repeated(job, slot, id),
+            EventPlace::Next => self.has_sent_ids = true,
+            EventPlace::Unproved => {}
+            EventPlace::AfterGap => {
+                let last_event_id = self.last_event_id().unwrap_or("");
+                log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, last_event_id, event_id = id; "a run does not go on at the event that the caller lacks");
+                job.node.metrics.count("stream_pieces_total", "gap");
+                return Err(ForwardError::Gap);
+            }
+        }
+        Ok(place)
     }
 
     /// Counts an event that is left out, and logs the first one of a stream.
@@ -106,8 +154,21 @@
         log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, last_event_id, event_id = id; "an upstream sends events that the caller has; they are left out");
     }
 
+    /// Sends what is left at the regular end of a stream.
+    pub(crate) async fn send_rest(
+        &mut self,
+        held_bytes: &HeldBytes,
+        remainder: Bytes,
+    ) -> Result<(), IncompleteAnswer> {
+        self.send_unproved(held_bytes).await?;
+        if remainder.is_empty() {
+            return Ok(());
+        }
+        self.forward_rest(held_bytes, remainder).await
+    }
+
     /// Sends bytes to the caller that belong to the current event, or follow the last one.
-    pub(crate) async fn forward_rest(
+    async fn forward_rest(
         &mut self,
         held_bytes: &HeldBytes,
         bytes: Bytes,
--- a/crates/dragonflystep_edge/src/event_order.rs
+++ b/crates/dragonflystep_edge/src/event_order.rs
@@ -1,4 +1,9 @@
 //! Where an event belongs in its stream, by its id.
+//!
+//! Ids increase from event to event; that they increase by one is not promised. So an event whose id is not above the last
+//! one that the caller has was received already. Events are taken to be missing only where the events of one run are
+//! joined to those of another, and only if the ids of this stream have gone up by one so far: within a run, events arrive as
+//! the upstream sent them, and an upstream may number tokens of which an event holds several.
 
 /// Where an event belongs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -7,6 +12,10 @@
     Next,
     /// The caller has it already.
     Received,
+    /// Events are missing between what the caller has and this one, or the one before it.
+    AfterGap,
+    /// The event after it shows whether events are missing before it.
+    Unproved,
 }
 
 /// The order of the events of a stream, which may come from several runs in turn.
@@ -16,6 +25,14 @@
     last_id: Option<String>,
     /// The number of the current run's last event; none before the first one with a number.
     run_last: Option<u64>,
+    /// Whether an event of the current run was joined to what the caller has.
+    is_joined: bool,
+    /// The number of the first event that would be joined, while the next event has to show whether it may be.
+    unproved: Option<u64>,
+    /// A number that was taken to follow a gap. A second run that goes on with the same one confirms that nothing is missing.
+    doubted: Option<u64>,
+    has_steps_of_one: bool,
+    has_larger_steps: bool,
 }
 
 impl EventOrder {
@@ -35,28 +52,76 @@
     /// The next events are those of another run.
     pub(crate) fn begin_run(&mut self) {
         self.run_last = None;
+        self.is_joined = false;
+        self.unproved = None;
     }
 
     /// Whether the current run lags behind what the caller has. If it ends there, it is not the whole stream.
     pub(crate) fn is_behind(&self) -> bool {
-        let last = self.last_id().and_then(number);
-        matches!((self.run_last, last), (Some(run), Some(last)) if run < last)
+        matches!((self.run_last, self.last_number()), (Some(run), Some(last)) if run < last)
     }
 
-    /// Places the next event of the current run; the caller has it afterwards if it is the next one. Numeric ids are taken to
-    /// increase from event to event; other ids are compared with that of the last event only.
+    /// Places the next event of the current run; the caller has it afterwards if it is the next one.
     pub(crate) fn place(&mut self, id: &str) -> EventPlace {
-        self.run_last = number(id).or(self.run_last);
-        let is_received = match (self.last_id().and_then(number), number(id)) {
-            (Some(last), Some(id)) => id <= last,
-            _ => self.last_id() == Some(id),
+        let number = number(id);
+        let earlier = self.run_last;
+        self.run_last = number.or(earlier);
+        if let (Some(earlier), Some(number)) = (earlier, number) {
+            // A step from what the caller has to what it lacks may be the gap itself.
+            let is_inside = self.is_joined || self.last_number().is_none_or(|last| number <= last);
+            self.has_steps_of_one |= number.checked_sub(earlier) == Some(1);
+            self.has_larger_steps |= is_inside && number.saturating_sub(earlier) > 1;
+        }
+        if let Some(unproved) = self.unproved {
+            let is_larger_step = number.is_none_or(|number| number.saturating_sub(unproved) > 1);
+            if !is_larger_step {
+                self.doubted = Some(unproved);
+                return EventPlace::AfterGap;
+            }
+            self.unproved = None;
+            return self.join(id);
+        }
+        let (Some(last), Some(number)) = (self.last_number(), number) else {
+            return if self.last_id() == Some(id) {
+                EventPlace::Received
+            } else {
+                self.join(id)
+            };
         };
-        if is_received {
+        if number <= last {
             return EventPlace::Received;
         }
+        let may_join = self.is_joined
+            || number - last == 1
+            || self.has_larger_steps
+            || self.doubted == Some(number);
+        if may_join {
+            return self.join(id);
+        }
+        if self.has_steps_of_one {
+            self.doubted = Some(number);
+            return EventPlace::AfterGap;
+        }
+        self.unproved = Some(number);
+        EventPlace::Unproved
+    }
+
+    /// The event that was [`EventPlace::Unproved`] is passed on, as nothing shows that events are missing.
+    pub(crate) fn join_unproved(&mut self) {
+        if let Some(unproved) = self.unproved.take() {
+            self.join(&unproved.to_string());
+        }
+    }
+
+    fn join(&mut self, id: &str) -> EventPlace {
+        self.is_joined = true;
         self.last_id = Some(id.to_owned());
         EventPlace::Next
     }
+
+    fn last_number(&self) -> Option<u64> {
+        self.last_id().and_then(number)
+    }
 }
 
 fn number(id: &str) -> Option<u64> {
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -11,7 +11,7 @@
         attempts::Attempts,
         body_framing::BodyFraming,
         burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
-        caller_stream::CallerStream,
+        caller_stream::{CallerStream, ForwardError},
         continuation::{ResumePoint, continue_from_copy},
         event_stream::EventSplitter,
         held_bytes::{HeldBytes, HeldChunk},
@@ -214,7 +214,11 @@
                         let forwarding = caller.forward(job, &self.slot, event);
                         let end = match timeout_at(ends_at, forwarding).await {
                             Ok(Ok(())) => continue,
-                            Ok(Err(IncompleteAnswer)) => RelayEnd::CallerDisconnected,
+                            Ok(Err(ForwardError::CallerLeft(_))) => RelayEnd::CallerDisconnected,
+                            Ok(Err(ForwardError::Gap)) => {
+                                self.slot.end(RunOutcome::Failed, stats);
+                                return RelayEnd::Broken;
+                            }
                             Err(_) => RelayEnd::TimedOut,
                         };
                         self.slot.end(RunOutcome::Cancelled, stats);
@@ -245,9 +249,7 @@
                         self.slot.end(RunOutcome::Failed, stats);
                         return RelayEnd::Broken;
                     }
-                    if !remainder.is_empty()
-                        && caller.forward_rest(held_bytes, remainder).await.is_err()
-                    {
+                    if caller.send_rest(held_bytes, remainder).await.is_err() {
                         self.slot.end(RunOutcome::Cancelled, stats);
                         return RelayEnd::CallerDisconnected;
                     }
