Resume no stream after an event that has no id

Cause: an event without an id counted as no event of the stream. Now such a stream is cut after a break, as after a part of an event; comments and empty lines count as no event. Events without an id in a run that lags behind what the caller has are left out with those around them.

--- a/crates/dragonflystep_edge/src/caller_stream.rs
+++ b/crates/dragonflystep_edge/src/caller_stream.rs
@@ -33,11 +33,13 @@
     /// Whether an event with an id was sent to the caller.
     has_sent_ids: bool,
     /// Whether the caller has received only a part of the last event.
-    pub(crate) is_inside_event: bool,
+    is_inside_event: bool,
     /// Whether the rest of the current event is left out, because the caller already received the event.
     skips_event: bool,
     /// An event that waits until the next one shows that none is missing before it.
     unproved_event: Option<Bytes>,
+    /// Whether the caller has received an event without an id after the last one with an id.
+    ends_without_id: bool,
     /// Whether an event was left out.
     has_left_out: bool,
     /// Time from the arrival of the request to the first event of an upstream. Each further upstream that sends an
@@ -60,6 +62,7 @@
             is_inside_event: false,
             skips_event: false,
             unproved_event: None,
+            ends_without_id: false,
             has_left_out: false,
             first_event_after: None,
             longest_pause: Duration::ZERO,
@@ -83,6 +86,11 @@
         self.skips_event = false;
     }
 
+    /// Whether another run can go on exactly after what the caller has received.
+    pub(crate) fn can_be_joined(&self) -> bool {
+        !self.is_inside_event && !self.ends_without_id
+    }
+
     /// Whether the run that ends now lags behind what the caller has.
     pub(crate) fn is_run_behind(&self) -> bool {
         self.order.is_behind()
@@ -98,7 +106,13 @@
         let place = match &event.id {
             Some(id) => self.place(job, slot, id)?,
             None if self.skips_event => EventPlace::Received,
-            None => EventPlace::Next,
+            None if self.is_inside_event => EventPlace::Next,
+            // Events without an id belong to those around them.
+            None if self.order.is_behind() => EventPlace::Received,
+            None => {
+                self.ends_without_id |= event.has_content();
+                EventPlace::Next
+            }
         };
         if place == EventPlace::Received {
             self.skips_event = !event.is_end;
@@ -132,7 +146,10 @@
         let place = self.order.place(id);
         match place {
             EventPlace::Received => self.note_repeated(job, slot, id),
-            EventPlace::Next => self.has_sent_ids = true,
+            EventPlace::Next => {
+                self.has_sent_ids = true;
+                self.ends_without_id = false;
+            }
             EventPlace::Unproved => {}
             EventPlace::AfterGap => {
                 let last_event_id = self.last_event_id().unwrap_or("");
--- a/crates/dragonflystep_edge/src/event_stream.rs
+++ b/crates/dragonflystep_edge/src/event_stream.rs
@@ -16,6 +16,14 @@
     pub(crate) is_end: bool,
 }
 
+impl StreamEvent {
+    /// Whether the bytes hold a part of an event, and not only empty lines and comments.
+    pub(crate) fn has_content(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.any(|line| !line.starts_with(b":") && !line.trim_ascii_end().is_empty())
+    }
+}
+
 /// Buffers incoming bytes and splits them at the empty lines that end events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -326,7 +326,10 @@
 
 /// Continues a stream that broke off at another upstream, after the last event that arrived.
 async fn resume(job: &Rc<Job>, attempts: &mut Attempts, caller: &CallerStream) -> Option<Relay> {
-    if caller.is_inside_event {
+    if !caller.can_be_joined() {
+        let last_event_id = caller.last_event_id().unwrap_or("");
+        log::info!(request:% = job.facts.request_id, last_event_id; "no run can go on after what the caller has received");
+        job.node.metrics.count("stream_pieces_total", "no_joint");
         return None;
     }
     if let Some(relay) = continue_from_copy(job, attempts, caller).await {
