Test that only its own frame ends a tunnel

Not found: a forwarder's connection that is closed in order without the frame, within a frame, within a frame's length or with other bytes ends the tunnel with an error.

--- a/crates/dragonflystep_peer/tests/tunnel.rs
+++ b/crates/dragonflystep_peer/tests/tunnel.rs
@@ -213,3 +213,45 @@
         }
     });
 }
+
+/// Lets a forwarder send these bytes after it has opened a tunnel, and close its connection in order. Returns how the tunnel
+/// ends.
+async fn end_after(frames: &'static [u8]) -> io::Result<usize> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(any).await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let _forwarder = spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 64];
+        // An unread request would make the close a reset.
+        let _ = stream.read(&mut request).await;
+        stream.write_all(b"\0\x01\0").await.expect("it is opened");
+        stream.write_all(frames).await.expect("the frames are sent");
+        stream.shutdown().await.expect("it is closed");
+        while stream.read(&mut request).await.is_ok_and(|count| count > 0) {}
+    });
+    let network = TcpNetwork::default();
+    let tunnel = open_tunnel(&network, &address, "opener", "10.0.0.1:80", LIMIT).await;
+    let mut rest = Vec::new();
+    tunnel.expect("a tunnel").read_to_end(&mut rest).await
+}
+
+#[test]
+fn a_tunnel_whose_connection_is_closed_in_order_ends_only_with_the_frame_that_ends_it() {
+    in_local_set(async {
+        let without_end: [&[u8]; 6] = [
+            b"",
+            b"\0\x06answer",
+            b"\0\x06ans",
+            b"\0\x02\0\0",
+            b"\0\x06answer\0",
+            b"HTTP/1.1 200 OK\r\n\r\n\0\0",
+        ];
+        for frames in without_end {
+            let end = end_after(frames).await;
+            end.expect_err("the upstream did not close the connection");
+        }
+        let end = end_after(b"\0\x06answer\0\0").await;
+        assert_eq!(end.expect("a clean end"), 6);
+    });
+}
