Let comments not release an event that may follow a gap

What callers would see: of a stream that a caller resumes, the first event waits for the second one if it has not the next number; a comment or an event without an id between the two let it pass, behind the gap. Cause: anything that followed counted as the second event. Both now wait with it, up to 64 KB. An id is kept as it was sent, so that 007 is not asked for as 7. Evidence: two cases of a_stream_does_not_go_on_behind_a_gap; the one with a comment failed on the commit before (events 5 and 6 for a caller that has 3), the one without an id was not reached there.

--- a/crates/dragonflystep_edge/src/caller_stream.rs
+++ b/crates/dragonflystep_edge/src/caller_stream.rs
@@ -9,12 +9,15 @@
         job::Job,
         slots::Slot,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     dragonflystep_dispatch::RouteKind,
     std::time::Duration,
     tokio::sync::mpsc,
 };
 
+/// Most bytes that wait until the next event shows that none is missing before them, beside a single event.
+const MAX_UNPROVED_BYTES: usize = 64 << 10;
+
 /// Why an event was not passed on.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ForwardError {
@@ -36,8 +39,8 @@
     is_inside_event: bool,
     /// Whether the rest of the current event is left out, because the caller already received the event.
     skips_event: bool,
-    /// An event that waits until the next one shows that none is missing before it.
-    unproved_event: Option<Bytes>,
+    /// An event that waits until the next one shows that none is missing before it, with those without an id behind it.
+    unproved_bytes: BytesMut,
     /// Whether the caller has received an event without an id after the last one with an id.
     ends_without_id: bool,
     /// Whether an event was left out.
@@ -61,7 +64,7 @@
             has_sent_ids: false,
             is_inside_event: false,
             skips_event: false,
-            unproved_event: None,
+            unproved_bytes: BytesMut::new(),
             ends_without_id: false,
             has_left_out: false,
             first_event_after: None,
@@ -82,7 +85,7 @@
     /// The next events are those of another run.
     pub(crate) fn begin_run(&mut self) {
         self.order.begin_run();
-        self.unproved_event = None;
+        self.unproved_bytes.clear();
         self.skips_event = false;
     }
 
@@ -109,6 +112,7 @@
             None if self.is_inside_event => EventPlace::Next,
             // Events without an id belong to those around them.
             None if self.order.is_behind() => EventPlace::Received,
+            None if self.may_wait_with(&event) => EventPlace::Unproved,
             None => {
                 self.ends_without_id |= event.has_content();
                 EventPlace::Next
@@ -121,36 +125,41 @@
         self.skips_event = false;
         // An event that is too long to be held as a whole can't be taken back either.
         if place == EventPlace::Unproved && event.is_end {
-            self.unproved_event = Some(event.bytes);
+            self.unproved_bytes.extend_from_slice(&event.bytes);
             return Ok(());
         }
         self.send_unproved(&job.node.held_bytes).await?;
+        if event.id.is_some() {
+            self.has_sent_ids = true;
+            self.ends_without_id = false;
+        }
         self.is_inside_event = !event.is_end;
         self.forward_rest(&job.node.held_bytes, event.bytes).await?;
         Ok(())
     }
 
+    /// Whether an event without an id waits with the one before it.
+    fn may_wait_with(&self, event: &StreamEvent) -> bool {
+        let length = self.unproved_bytes.len() + event.bytes.len();
+        !self.unproved_bytes.is_empty() && event.is_end && length <= MAX_UNPROVED_BYTES
+    }
+
     /// Sends the event that had to wait until the next one shows that none is missing before it, if there is one.
     async fn send_unproved(&mut self, held_bytes: &HeldBytes) -> Result<(), IncompleteAnswer> {
         self.order.join_unproved();
-        match self.unproved_event.take() {
-            Some(bytes) => {
-                self.has_sent_ids = true;
-                self.forward_rest(held_bytes, bytes).await
-            }
-            None => Ok(()),
+        if self.unproved_bytes.is_empty() {
+            return Ok(());
         }
+        self.has_sent_ids = true;
+        let bytes = self.unproved_bytes.split().freeze();
+        self.forward_rest(held_bytes, bytes).await
     }
 
     fn place(&mut self, job: &Job, slot: &Slot, id: &str) -> Result<EventPlace, ForwardError> {
         let place = self.order.place(id);
         match place {
             EventPlace::Received => self.note_repeated(job, slot, id),
-            EventPlace::Next => {
-                self.has_sent_ids = true;
-                self.ends_without_id = false;
-            }
-            EventPlace::Unproved => {}
+            EventPlace::Next | EventPlace::Unproved => {}
             EventPlace::AfterGap => {
                 let last_event_id = self.last_event_id().unwrap_or("");
                 log::info!(request:% = job.facts.request_id, upstream:% = slot.grant.upstream, last_event_id, event_id = id; "a run does not go on at the event that the caller lacks");
--- a/crates/dragonflystep_edge/src/event_order.rs
+++ b/crates/dragonflystep_edge/src/event_order.rs
@@ -27,8 +27,8 @@
     run_last: Option<u64>,
     /// Whether an event of the current run was joined to what the caller has.
     is_joined: bool,
-    /// The number of the first event that would be joined, while the next event has to show whether it may be.
-    unproved: Option<u64>,
+    /// The number and the id of the first event that would be joined, while the next event has to show whether it may be.
+    unproved: Option<(u64, String)>,
     /// A number that was taken to follow a gap. A second run that goes on with the same one confirms that nothing is missing.
     doubted: Option<u64>,
     has_steps_of_one: bool,
@@ -72,13 +72,13 @@
             self.has_steps_of_one |= number.checked_sub(earlier) == Some(1);
             self.has_larger_steps |= is_inside && number.saturating_sub(earlier) > 1;
         }
-        if let Some(unproved) = self.unproved {
+        if let Some((unproved, _)) = self.unproved.take() {
             let is_larger_step = number.is_none_or(|number| number.saturating_sub(unproved) > 1);
             if !is_larger_step {
                 self.doubted = Some(unproved);
                 return EventPlace::AfterGap;
             }
-            self.unproved = None;
+            self.has_larger_steps |= number.is_some();
             return self.join(id);
         }
         let (Some(last), Some(number)) = (self.last_number(), number) else {
@@ -102,14 +102,14 @@
             self.doubted = Some(number);
             return EventPlace::AfterGap;
         }
-        self.unproved = Some(number);
+        self.unproved = Some((number, id.to_owned()));
         EventPlace::Unproved
     }
 
     /// The event that was [`EventPlace::Unproved`] is passed on, as nothing shows that events are missing.
     pub(crate) fn join_unproved(&mut self) {
-        if let Some(unproved) = self.unproved.take() {
-            self.join(&unproved.to_string());
+        if let Some((_, id)) = self.unproved.take() {
+            self.join(&id);
         }
     }
 
