--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -11,7 +11,7 @@
         attempts::Attempts,
         body_framing::BodyFraming,
         burn::{CALLER_LEFT, FAILED, IN_TIME, LATE},
-        caller_stream::CallerStream,
+        caller_stream::{CallerStream, ForwardError},
         continuation::{ResumePoint, continue_from_copy},
         event_stream::EventSplitter,
         held_bytes::{HeldBytes, HeldChunk},
@@ -135,7 +135,7 @@
         let mut answer = Response::new(AnswerBody::Streamed(chunks));
         *answer.status_mut() = head.status;
         *answer.headers_mut() = end_to_end_headers(&head.headers);
-        let caller = CallerStream::new(sender);
+        let caller = CallerStream::new(sender, job.received_events().map(str::to_owned));
         spawn_local(relay_stream(self, job, attempts, caller));
         answer
     }
@@ -154,6 +154,7 @@
             .count("answer_bodies_total", framing.name());
         let held_bytes = &job.node.held_bytes;
         let mut splitter = EventSplitter::default();
+        caller.begin_run();
         let mut stats = RunStats::default();
         let mut last_event_at = Duration::ZERO;
         let ends_at = job.deadline + LATE_ANSWER_MARGIN;
@@ -210,10 +211,14 @@
                             attempts.stream_version = Some(self.slot.version());
                         }
                         // A caller that does not read holds memory for no longer than it may wait.
-                        let forwarding = caller.forward(held_bytes, event);
+                        let forwarding = caller.forward(job, &self.slot, event);
                         let end = match timeout_at(ends_at, forwarding).await {
                             Ok(Ok(())) => continue,
-                            Ok(Err(IncompleteAnswer)) => RelayEnd::CallerDisconnected,
+                            Ok(Err(ForwardError::CallerLeft(_))) => RelayEnd::CallerDisconnected,
+                            Ok(Err(ForwardError::Gap)) => {
+                                self.slot.end(RunOutcome::Failed, stats);
+                                return RelayEnd::Broken;
+                            }
                             Err(_) => RelayEnd::TimedOut,
                         };
                         self.slot.end(RunOutcome::Cancelled, stats);
@@ -237,9 +242,14 @@
                         self.slot.end(RunOutcome::Broken, stats);
                         return RelayEnd::Broken;
                     }
-                    if !remainder.is_empty()
-                        && caller.forward_rest(held_bytes, remainder).await.is_err()
-                    {
+                    if caller.is_run_behind() {
+                        let last_event_id = caller.last_event_id().unwrap_or("");
+                        log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, last_event_id, events = stats.events; "a run ended before the events that the caller has");
+                        job.node.metrics.count("stream_pieces_total", "ended_early");
+                        self.slot.end(RunOutcome::Failed, stats);
+                        return RelayEnd::Broken;
+                    }
+                    if caller.send_rest(held_bytes, remainder).await.is_err() {
                         self.slot.end(RunOutcome::Cancelled, stats);
                         return RelayEnd::CallerDisconnected;
                     }
@@ -316,7 +326,10 @@
 
 /// Continues a stream that broke off at another upstream, after the last event that arrived.
 async fn resume(job: &Rc<Job>, attempts: &mut Attempts, caller: &CallerStream) -> Option<Relay> {
-    if caller.is_inside_event {
+    if !caller.can_be_joined() {
+        let last_event_id = caller.last_event_id().unwrap_or("");
+        log::info!(request:% = job.facts.request_id, last_event_id; "no run can go on after what the caller has received");
+        job.node.metrics.count("stream_pieces_total", "no_joint");
         return None;
     }
     if let Some(relay) = continue_from_copy(job, attempts, caller).await {
@@ -335,7 +348,7 @@
         };
         slot.drop_unusable_copy();
         attempts.count_sent(&slot.grant);
-        let after = caller.last_event_id.clone();
+        let after = caller.last_event_id().map(str::to_owned);
         let resume = ResumePoint {
             after: after.or_else(|| job.facts.last_event_id.clone()),
             copy: None,
