Take only an answer on a new connection, or more than a refused one, as proof that an engine stopped a run

What callers saw: two engines worked on one run. After a break the entry node tells the first engine to stop, and lets the run go on from its copy. An answer 404 without an id, on a connection that had carried named answers, was taken for the answer to that order. So was a refused connection, although the engine worked on and kept other connections open.

Cause: the answer to the order names no call. On a used connection nothing tells it from a stray one. A refused connection shows what one path does, not that the process is gone.

The order goes on a new connection, and `claim_for_first_call` accepts no other. A refused connection counts only if the engine answers on no idle connection either, another node does not reach it while the engine with the copy answers through that node, and that engine answers this node on a new direct connection. Otherwise the stream ends as one without a copy.

Left: an engine that refuses new connections of all nodes, has no idle one and works on looks like one that crashed.

--- a/crates/dragonflystep_edge/src/continuation.rs
+++ b/crates/dragonflystep_edge/src/continuation.rs
@@ -1,8 +1,9 @@
 //! Lets a stream whose upstream broke off go on from the copy of its KV cache at another upstream.
 //!
 //! The caller may have received events, so at no time may two upstreams work on the run. The upstream that broke off is
-//! told to stop the run first. The stream goes on only if it answers that it does not run it, or if nothing listens at its
-//! address any more. One that can't be reached may still be at work; then the stream is handled as one without a copy.
+//! told to stop the run first, on a new connection: its answer has no id, and elsewhere could be a late or stray one. The
+//! stream goes on only if it answers that it does not run it, or if it is down. One that can't be reached may still be at
+//! work; then the stream is handled as one without a copy.
 
 use {
     crate::{
@@ -13,7 +14,9 @@
         limits::STOP_RUN_TIMEOUT,
         relay::Relay,
         upstream_connections::SendError,
+        upstream_dialer::{Dialed, dial},
     },
+    bytes::Bytes,
     dragonflystep_dispatch::{CopyTarget, Grant},
     http::{HeaderValue, Method, Request, Uri, header},
     http_body_util::Full,
@@ -130,17 +133,26 @@
         address: copy.address.clone(),
         name: job.facts.request_id.clone(),
     };
-    let stopping = timeout(STOP_RUN_TIMEOUT, send_stop(job, source, copy));
-    match stopping.await {
-        Ok(Ok(RunStop::NotRunning)) => Some(kept()),
-        Ok(Ok(RunStop::Moved(name))) => Some(CopyName {
-            address: source.address.clone(),
-            name,
-        }),
-        Ok(Err(SendError::NotSent(error))) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            Some(kept())
+    let stopping = async {
+        match send_stop(job, &source.address, &copy.address).await {
+            Err(SendError::NotSent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                let is_down = is_down(job, source, copy).await;
+                Ok(is_down.then(kept))
+            }
+            Ok(answer) => Ok(match answer.stop {
+                RunStop::NotRunning => Some(kept()),
+                RunStop::Moved(name) => Some(CopyName {
+                    address: source.address.clone(),
+                    name,
+                }),
+                RunStop::Unclear => None,
+            }),
+            Err(error) => Err(error),
         }
-        Ok(Ok(RunStop::Unclear)) | Err(_) => None,
+    };
+    match timeout(STOP_RUN_TIMEOUT, stopping).await {
+        Ok(Ok(name)) => name,
+        Err(_) => None,
         Ok(Err(error)) => {
             log::info!(request:% = job.facts.request_id, upstream:% = source.upstream, error:%; "an upstream does not answer whether it stopped a run");
             None
@@ -148,11 +160,63 @@
     }
 }
 
-async fn send_stop(job: &Job, source: &Grant, copy: &CopyTarget) -> Result<RunStop, SendError> {
+/// Whether the upstream of a run, which refused a connection, is down. A path may refuse new connections while the upstream
+/// works on. So it must not answer on any open connection, another node has to find it unreachable, and the upstream with the
+/// copy has to answer on a new direct connection.
+async fn is_down(job: &Job, source: &Grant, copy: &CopyTarget) -> bool {
     let node = &job.node;
-    let call = node
-        .dialect
-        .stop_run_call(&job.facts.request_id, &copy.address);
+    let allowed = job.allowed_data_centres.as_deref();
+    let order = stop_order(job, &source.address, &copy.address);
+    // Such an answer may belong to another call, but it shows that the upstream is up. The order stops the run all the same.
+    if let Ok(answered) = node.send_on_idle(&source.address, "", order, allowed).await {
+        if let Err(error) = answered.claim_for_first_call(node) {
+            log::info!(request:% = job.facts.request_id, upstream:% = source.upstream, error:%; "an upstream refuses a connection and answers on another one");
+        }
+        return false;
+    }
+    let is_answered = async |dialed| {
+        let answer = send_stop_on(job, &copy.address, dialed, &source.address).await;
+        shows_path(job, copy, answer)
+    };
+    let (is_confirmed, answer) = tokio::join!(
+        node.is_down_for_another(
+            &source.upstream,
+            &source.address,
+            &copy.address,
+            is_answered
+        ),
+        send_stop(job, &copy.address, &source.address),
+    );
+    let is_direct = matches!(&answer, Ok(answer) if answer.is_direct);
+    let is_path_proved = shows_path(job, copy, answer) && is_direct;
+    if !is_confirmed || !is_path_proved {
+        log::info!(request:% = job.facts.request_id, upstream:% = source.upstream, is_confirmed, is_path_proved; "an upstream that refused a connection may still be at work");
+    }
+    is_confirmed && is_path_proved
+}
+
+/// Whether the answer of the upstream with the copy shows that it is reached. One that it stopped the run shows a second run.
+fn shows_path(job: &Job, copy: &CopyTarget, answer: Result<StopAnswer, SendError>) -> bool {
+    match answer {
+        Ok(answer) => answer.is_claimed && !matches!(answer.stop, RunStop::Moved(_)),
+        Err(error) => {
+            log::info!(request:% = job.facts.request_id, upstream:% = copy.upstream, error:%; "the upstream with the copy of a run does not answer");
+            false
+        }
+    }
+}
+
+/// What an upstream answered to the order to stop a run.
+struct StopAnswer {
+    stop: RunStop,
+    is_direct: bool,
+    /// Whether the answer belongs to the order.
+    is_claimed: bool,
+}
+
+fn stop_order(job: &Job, address: &str, copy_to: &str) -> Request<Full<Bytes>> {
+    let dialect = &job.node.dialect;
+    let call = dialect.stop_run_call(&job.facts.request_id, copy_to);
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(call.path);
@@ -161,25 +225,48 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static(call.content_type),
     );
-    if let Ok(host) = HeaderValue::from_str(&source.address) {
+    if let Ok(host) = HeaderValue::from_str(address) {
         headers.insert(header::HOST, host);
     }
-    let allowed = job.allowed_data_centres.as_deref();
-    let answered = node
-        .send_upstream(&source.address, "", request, allowed)
-        .await?;
-    let mut answer = match answered.claim_for_call(node) {
+    request
+}
+
+async fn send_stop(job: &Job, address: &str, copy_to: &str) -> Result<StopAnswer, SendError> {
+    let dialed = dial(&job.node, address, job.allowed_data_centres.as_deref()).await?;
+    send_stop_on(job, address, dialed, copy_to).await
+}
+
+/// Sends the order on a new connection.
+async fn send_stop_on(
+    job: &Job,
+    address: &str,
+    dialed: Dialed,
+    copy_to: &str,
+) -> Result<StopAnswer, SendError> {
+    let node = &job.node;
+    let request = stop_order(job, address, copy_to);
+    let is_direct = dialed.forwarder.is_none();
+    let unclear = |is_claimed| StopAnswer {
+        stop: RunStop::Unclear,
+        is_direct,
+        is_claimed,
+    };
+    let answered = node.send_on_new(address, dialed, request).await?;
+    let mut answer = match answered.claim_for_first_call(node) {
         Ok(answer) => answer,
         Err(error) => {
-            log::warn!(request:% = job.facts.request_id, upstream:% = source.upstream, error:%; "the answer to an order to stop a run is ignored");
-            return Ok(RunStop::Unclear);
+            log::warn!(request:% = job.facts.request_id, address, error:%; "the answer to an order to stop a run is ignored");
+            return Ok(unclear(false));
         }
     };
     match answer.read_short_body().await {
-        Ok(body) => Ok(node.dialect.read_run_stop(answer.head.status, &body)),
+        Ok(body) => Ok(StopAnswer {
+            stop: node.dialect.read_run_stop(answer.head.status, &body),
+            ..unclear(true)
+        }),
         Err(error) => {
-            log::warn!(request:% = job.facts.request_id, upstream:% = source.upstream, error:%; "the answer to an order to stop a run can't be read");
-            Ok(RunStop::Unclear)
+            log::warn!(request:% = job.facts.request_id, address, error:%; "the answer to an order to stop a run can't be read");
+            Ok(unclear(false))
         }
     }
 }
--- a/crates/dragonflystep_edge/src/lib.rs
+++ b/crates/dragonflystep_edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod continuation;
 mod crash_reports;
 mod dialect;
+mod down_upstreams;
 mod entry_runs;
 mod evacuations;
 mod event_stream;
--- a/crates/dragonflystep_edge/src/node.rs
+++ b/crates/dragonflystep_edge/src/node.rs
@@ -11,6 +11,7 @@
     crate::{
         catalogue_list::CatalogueEntry,
         dialect::Dialect,
+        down_upstreams::DownUpstreams,
         entry_runs::EntryRuns,
         evacuations::KnownEvacuations,
         held_bytes::HeldBytes,
@@ -78,6 +79,7 @@
     pub(crate) upstream_paths: RefCell<UpstreamPaths>,
     /// Held while the reason of a broken connection is found out.
     pub(crate) break_check: Mutex<()>,
+    pub(crate) down_upstreams: DownUpstreams,
     /// Number of tunnels that this node serves for others.
     pub(crate) open_tunnels: RefCell<OpenTunnels>,
     pub(crate) upstream_health: UpstreamHealth,
@@ -143,6 +145,7 @@
             connections: UpstreamConnections::default(),
             upstream_paths: RefCell::default(),
             break_check: Mutex::default(),
+            down_upstreams: DownUpstreams::default(),
             open_tunnels: RefCell::default(),
             upstream_health: UpstreamHealth::default(),
             metrics,
--- a/crates/dragonflystep_edge/src/upstream_answer.rs
+++ b/crates/dragonflystep_edge/src/upstream_answer.rs
@@ -94,6 +94,16 @@
         answer.accept_if(is_own, node, "call")
     }
 
+    /// Claims the answer for a call of this node that a stray or late answer must not decide: only on a connection that has
+    /// carried no other call.
+    pub(crate) fn claim_for_first_call(self, node: &Node) -> Result<UpstreamAnswer, ForeignAnswer> {
+        let mut answer = self.read_head(node);
+        let is_own = answer.facts.request_id.is_empty()
+            && answer.connection.note_unnamed_answer()
+            && answer.connection.is_first_call();
+        answer.accept_if(is_own, node, "first_call")
+    }
+
     fn read_head(self, node: &Node) -> UpstreamAnswer {
         let (head, body) = self.response.into_parts();
         UpstreamAnswer {
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -224,18 +224,12 @@
         mut request: Request<Full<Bytes>>,
         allowed: Option<&[DataCentreName]>,
     ) -> Result<UnclaimedAnswer, SendError> {
-        let may_use = |connection: &OpenConnection| {
-            let is_permitted = connection
-                .forwarder()
-                .is_none_or(|forwarder| self.may_use_forwarder(forwarder, allowed));
-            is_permitted && !connection.has_rejected(request_id)
-        };
-        while let Some(connection) = self.connections.take_idle(address, may_use) {
-            match self.try_send(connection, request).await {
-                Ok(answered) => return Ok(answered),
-                Err(TrySendError::Unsent(unsent)) => request = *unsent,
-                Err(error) => return Err(error.into()),
-            }
+        match self
+            .send_on_idle(address, request_id, request, allowed)
+            .await
+        {
+            Err(TrySendError::Unsent(unsent)) => request = *unsent,
+            result => return Ok(result?),
         }
         let dialed = dial(self, address, allowed).await?;
         let forwarder = dialed.forwarder.clone();
@@ -254,6 +248,29 @@
         }
     }
 
+    /// Sends a request on an idle connection. It is unsent if there is none that still works.
+    pub(crate) async fn send_on_idle(
+        &self,
+        address: &str,
+        request_id: &str,
+        mut request: Request<Full<Bytes>>,
+        allowed: Option<&[DataCentreName]>,
+    ) -> Result<UnclaimedAnswer, TrySendError> {
+        let may_use = |connection: &OpenConnection| {
+            let is_permitted = connection
+                .forwarder()
+                .is_none_or(|forwarder| self.may_use_forwarder(forwarder, allowed));
+            is_permitted && !connection.has_rejected(request_id)
+        };
+        while let Some(connection) = self.connections.take_idle(address, may_use) {
+            match self.try_send(connection, request).await {
+                Err(TrySendError::Unsent(unsent)) => request = *unsent,
+                result => return result,
+            }
+        }
+        Err(TrySendError::Unsent(Box::new(request)))
+    }
+
     /// Sends a request on a new connection.
     pub(crate) async fn send_on_new(
         &self,
