Let an owner whose answers alone are lost learn that the others can't call it

Cause: a node takes others out of its majority that list it as unavailable. Each digest with which they called it left it out of that list, since who receives the digest can be reached. That holds for the way to the owner, not for the way back: while only its answers to the others' calls were lost, each call, made at once after the owner's own call, took back what the answer to the owner's call had just stated. In a large system, where the owner calls only its neighbours, nothing else would have told it.

Class: what one way of a path shows is taken for the whole path.

Fix: a call lists the called node if the call before it failed. The called node counts that once the caller's calls have said so for 1.2 s, longer than the longest time between two exchanges; answers to its own calls count at once, as before. After a call that is answered again, the caller calls once more, which takes it back. The same holds for probes of an owner with a request waiting there. A node no longer takes over a suspicion of itself.

Ruled out: counting such a call at once.

--- a/crates/dragonflystep_edge/src/exchange.rs
+++ b/crates/dragonflystep_edge/src/exchange.rs
@@ -105,19 +105,27 @@
 
 /// Exchanges digests with a node and records whether it answers.
 pub(crate) async fn exchange_with(node: Rc<Node>, peer: NodeName) {
-    let Some(link) = node.members.link(&peer) else {
+    let had_failed = node.members.has_failed(&peer);
+    exchange_once(&node, &peer).await;
+    if had_failed && !node.members.has_failed(&peer) {
+        // The call stated that the one before it had failed. The other node waits to hear that its answer has arrived
+        // before it counts this one to its majority.
+        exchange_once(&node, &peer).await;
+    }
+}
+
+async fn exchange_once(node: &Rc<Node>, peer: &NodeName) {
+    let Some(link) = node.members.link(peer) else {
         return;
     };
     let mut digest = node.empty_digest();
-    digest.unavailable = node.members.own_unavailable();
-    // If the other node receives this digest, it can be reached, whatever came of earlier calls.
-    digest.unavailable.retain(|other| *other != peer);
+    digest.unavailable = node.members.unavailable_for_call(peer);
     let called_at = node.owner.now();
     match link.exchange(&digest, EXCHANGE_TIMEOUT).await {
         Ok(mut theirs) => {
             let now = node.owner.now();
-            let is_owner = node.is_preferred_or_current_owner(&peer);
-            if node.members.record_answer(now, &peer, theirs.is_leaving) {
+            let is_owner = node.is_preferred_or_current_owner(peer);
+            if node.members.record_answer(now, peer, theirs.is_leaving) {
                 node.metrics.count("cuts_ended_total", "first_owner");
             }
             // Ages count from the time of the call, so that the transit time is added at each hop.
@@ -132,18 +140,18 @@
             for notice in &mut notices {
                 notice.age += now.saturating_sub(called_at);
             }
-            node.apply_notices(notices, &peer);
+            node.apply_notices(notices, peer);
             let mut crashes = std::mem::take(&mut theirs.crashes);
             crashes.add_age(now.saturating_sub(called_at));
             node.apply_evidence(crashes);
-            fetch_if_newer(&node, &theirs);
+            fetch_if_newer(node, &theirs);
             if node.has_newer_lists_than(&theirs) {
-                push_missing(&node, &peer, &link, &theirs).await;
+                push_missing(node, peer, &link, &theirs).await;
             }
         }
         Err(error) => {
             node.metrics.count("peer_failures_total", "exchange");
-            node.members.record_failure(node.owner.now(), &peer, &error);
+            node.members.record_failure(node.owner.now(), peer, &error);
         }
     }
 }
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -67,6 +67,11 @@
 /// than the longest time between two gossip exchanges (0.96 s), so that a running node has called in the meantime.
 pub(crate) const MIN_SUSPECT_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Time for which the calls of a node have to state that the ones before them failed until this counts. A call from before
+/// the end of a cut may arrive after it; longer than the longest time between two gossip exchanges (0.96 s), so that a node
+/// that gets answers again has said so in the meantime.
+pub(crate) const MIN_CALLS_FAILING: Duration = Duration::from_millis(1_200);
+
 /// Time in which nodes detect that their owner has failed and call the next one: one gossip exchange.
 pub(crate) const OWNER_FAILOVER_TIME: Duration = Duration::from_millis(1_000);
 
--- a/crates/dragonflystep_edge/src/members.rs
+++ b/crates/dragonflystep_edge/src/members.rs
@@ -9,8 +9,8 @@
 use {
     crate::{
         limits::{
-            LARGE_SYSTEM_NEIGHBOURS, OWNER_WEIGHT_POWER, OWNERS_KEY, PREFERRED_OWNERS,
-            SMALL_SYSTEM_NODES,
+            LARGE_SYSTEM_NEIGHBOURS, MIN_CALLS_FAILING, OWNER_WEIGHT_POWER, OWNERS_KEY,
+            PREFERRED_OWNERS, SMALL_SYSTEM_NODES,
         },
         settings::MemberRecord,
         suspicion::Suspicions,
@@ -40,8 +40,10 @@
     /// Whether the last call to it was refused: nothing listens there, or a network resets the connections to it.
     is_refusing: bool,
     is_leaving: bool,
-    /// Whether its last digest listed this node as unavailable.
-    reports_us_unavailable: bool,
+    /// Whether its last answer listed this node as unavailable.
+    answers_unavailable: bool,
+    /// Since when each of its calls has stated that the one before it failed.
+    calls_failing_since: Option<MonotonicTime>,
 }
 
 impl ListEntry for MemberRecord {
@@ -163,7 +165,7 @@
         let suspicions = self.suspicions.borrow();
         let mutual = peers
             .values()
-            .filter(|peer| peer.is_visible(&suspicions, now) && !peer.reports_us_unavailable);
+            .filter(|peer| peer.is_visible(&suspicions, now) && !peer.misses_us(now));
         mutual.count() + 1
     }
 
@@ -360,7 +362,8 @@
             is_tried: false,
             is_refusing: false,
             is_leaving: false,
-            reports_us_unavailable: false,
+            answers_unavailable: false,
+            calls_failing_since: None,
         }
     }
 
@@ -368,6 +371,14 @@
         self.failed_since.is_some()
     }
 
+    /// Whether it can't call this node, according to its digests.
+    fn misses_us(&self, now: MonotonicTime) -> bool {
+        let are_calls_failing = self
+            .calls_failing_since
+            .is_some_and(|since| now.saturating_sub(since) >= MIN_CALLS_FAILING);
+        self.answers_unavailable || are_calls_failing
+    }
+
     fn is_visible(&self, suspicions: &Suspicions, now: MonotonicTime) -> bool {
         !self.has_failed() && !suspicions.is_suspected(now, &self.record.node)
     }
--- a/crates/dragonflystep_edge/src/members/reachability.rs
+++ b/crates/dragonflystep_edge/src/members/reachability.rs
@@ -72,10 +72,30 @@
         }
     }
 
-    /// Records whether a node lists this one as unavailable.
-    pub(crate) fn set_reports_us_unavailable(&self, node: &str, unavailable: &[NodeName]) {
+    /// Records whether a node that answered a call listed this one as unavailable.
+    pub(crate) fn record_answered_list(&self, node: &str, unavailable: &[NodeName]) {
         if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
-            peer.reports_us_unavailable = unavailable.contains(&self.own_record.node);
+            peer.answers_unavailable = unavailable.contains(&self.own_record.node);
+            if !peer.answers_unavailable {
+                peer.calls_failing_since = None;
+            }
+        }
+    }
+
+    /// Records whether a node that called this one listed it as unavailable: its last call was not answered.
+    pub(crate) fn record_called_list(
+        &self,
+        now: MonotonicTime,
+        node: &str,
+        unavailable: &[NodeName],
+    ) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(node) {
+            if unavailable.contains(&self.own_record.node) {
+                peer.calls_failing_since.get_or_insert(now);
+            } else {
+                peer.answers_unavailable = false;
+                peer.calls_failing_since = None;
+            }
         }
     }
 
@@ -95,6 +115,16 @@
         self.nodes_where(|peer| peer.has_failed() || peer.is_leaving)
     }
 
+    /// The same for a call to a node. That node is listed only if the last call to it failed: it may receive calls whose
+    /// answers do not arrive, and the others then use another owner.
+    pub(crate) fn unavailable_for_call(&self, called: &NodeName) -> Vec<NodeName> {
+        let mut nodes = self.own_unavailable();
+        if !self.has_failed(called) {
+            nodes.retain(|node| node != called);
+        }
+        nodes
+    }
+
     fn nodes_where(&self, matches: impl Fn(&PeerState) -> bool) -> Vec<NodeName> {
         let peers = self.peers.borrow();
         let matching = peers.iter().filter(|(_, peer)| matches(peer));
@@ -150,7 +180,7 @@
         suspicions.apply_owner_suspicions(now, owner, &self.without_direct_partners(nodes));
     }
 
-    /// Removes the nodes that this one checks itself, because others' suspicions of them are not accepted.
+    /// Removes this node and those that it checks itself, because others' suspicions of them are not accepted.
     ///
     /// This node's own observations take precedence. After a start of all nodes, some have called the owner before
     /// it was ready, and their suspicions would split the services between two owners.
@@ -160,7 +190,9 @@
             return Vec::new();
         }
         let checked_directly = self.direct_partners();
-        let remaining = nodes.iter().filter(|node| !checked_directly.contains(node));
+        let is_checked =
+            |node: &NodeName| *node == self.own_record.node || checked_directly.contains(node);
+        let remaining = nodes.iter().filter(|node| !is_checked(node));
         remaining.cloned().collect()
     }
 
--- a/crates/dragonflystep_edge/src/node/digest.rs
+++ b/crates/dragonflystep_edge/src/node/digest.rs
@@ -95,6 +95,8 @@
         let is_called_by_all = self.is_called_by_all();
         self.members
             .apply_caller_suspicions(now, &theirs.unavailable, is_called_by_all);
+        self.members
+            .record_called_list(now, &theirs.node, &theirs.unavailable);
         self.apply_digest(theirs);
     }
 
@@ -107,13 +109,13 @@
             let (owner, nodes) = (&theirs.node, &theirs.unavailable);
             self.members.apply_owner_suspicions(now, owner, nodes);
         }
+        self.members
+            .record_answered_list(&theirs.node, &theirs.unavailable);
         self.apply_digest(theirs);
     }
 
     fn apply_digest(&self, theirs: &Digest) {
         self.members.set_leaving(&theirs.node, theirs.is_leaving);
-        self.members
-            .set_reports_us_unavailable(&theirs.node, &theirs.unavailable);
         self.apply_rollouts(&theirs.rollouts, &theirs.node);
         self.apply_digest_evacuations(theirs);
         if let Some(changes) = from_json(&theirs.catalogue, "catalogue", &theirs.node) {
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -347,7 +347,8 @@
             () = sleep(OWNER_PROBE_DELAY) => {}
         }
         if link.silent_for() >= OWNER_PROBE_DELAY {
-            let digest = node.empty_digest();
+            let mut digest = node.empty_digest();
+            digest.unavailable = node.members.unavailable_for_call(owner);
             if let Err(error) = link.exchange(&digest, OWNER_PROBE_TIMEOUT).await {
                 guard.is_armed = false;
                 return Err(error);
