Play releases with losses of all nodes against real processes: `dragonflystep releases`

What callers saw: streams joined from two software versions (ORDER) and resumes that never go on (LOST) after all nodes were killed at once beside a release. No play of real processes had that: the soak's streams last 0.15 s, so that none is open across a restart, and the overload has one version.

A half of the callers name the request that they resume. `--binary` runs nodes of another build, `--without-losses` and `--one-version` are for comparison.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -14,6 +14,7 @@
 mod node;
 mod output;
 mod overload;
+mod releases;
 mod report;
 mod soak;
 
@@ -47,6 +48,7 @@
     Explain(explain::ExplainCommand),
     Fake(fake::FakeCommand),
     Overload(overload::OverloadCommand),
+    Releases(releases::ReleasesCommand),
     Soak(soak::SoakCommand),
 }
 
@@ -88,6 +90,7 @@
         Command::Explain(command) => command.run(),
         Command::Fake(command) => block_on_runtime(command.run()),
         Command::Overload(command) => command.run(),
+        Command::Releases(command) => command.run(),
         Command::Soak(command) => command.run(),
     };
     match result {
