Keep numbers of others from overflowing in the owner's arithmetic

Cause: the owner added and multiplied 32-bit numbers of other writers: slots of all entries, slots times the runs that may go on per slot, running and waiting requests of a reported load, the load of others beside its own runs, and the tokens of prompt segments. A checked build panics there; a release build wraps, so that the service counts as nearly without slots. The sum of slots is 64 bits wide now, the rest saturates.

Ruled out by the property tests: limits, ages, back-offs, warm-ups and sizes at the ends of their types, and orders of any end.

A first form of the property test also asked that an owner serves after extreme requests; that is no fault, as such a request may take all memory of an engine, so it is asked after statements alone.

--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -55,7 +55,7 @@
     engine: Option<Engine>,
     upstreams: Vec<LiveUpstream>,
     /// Slots of all listed upstreams.
-    total_slots: u32,
+    total_slots: u64,
     /// Index of each listed upstream, by its id.
     upstream_index: HashMap<UpstreamId, usize>,
     /// Index of the upstream of each run.
@@ -165,7 +165,8 @@
 
     fn rebuild_indices(&mut self) {
         self.search.reset();
-        self.total_slots = self.upstreams.iter().map(LiveUpstream::slots).sum();
+        let slots = self.upstreams.iter().map(LiveUpstream::slots);
+        self.total_slots = slots.map(u64::from).sum();
         self.mean_speed.set(None);
         self.upstream_index.clear();
         self.run_index.clear();
--- a/crates/dragonflystep_dispatch/src/pool/candidates.rs
+++ b/crates/dragonflystep_dispatch/src/pool/candidates.rs
@@ -144,7 +144,7 @@
             return false;
         };
         let running = self.run_index.len();
-        running as f64 >= (f64::from(self.total_slots) * share).ceil()
+        running as f64 >= (self.total_slots as f64 * share).ceil()
     }
 
     /// Adds an upstream to those with free slots, or takes note of its speed if it is full.
--- a/crates/dragonflystep_dispatch/src/pool/copying.rs
+++ b/crates/dragonflystep_dispatch/src/pool/copying.rs
@@ -210,7 +210,8 @@
             && !upstream.is_evacuated
             && request.permits(&upstream.entry)
             && self.takes_resumed_streams(upstream)
-            && (upstream.runs.len() as u32) < upstream.slots() * MAX_CONTINUED_PER_SLOT
+            && (upstream.runs.len() as u32)
+                < upstream.slots().saturating_mul(MAX_CONTINUED_PER_SLOT)
     }
 }
 
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -56,7 +56,7 @@
 
     /// Returns 1 for a service without any runs, falling to 0 where [`PLENTIFUL_SLOTS_SHARE`] of the slots is taken.
     fn idle_share(&self) -> f64 {
-        let taken = self.run_index.len() as f64 / f64::from(self.total_slots.max(1));
+        let taken = self.run_index.len() as f64 / self.total_slots.max(1) as f64;
         (1.0 - taken / PLENTIFUL_SLOTS_SHARE).max(0.0)
     }
 
--- a/crates/dragonflystep_dispatch/src/prefix_cache.rs
+++ b/crates/dragonflystep_dispatch/src/prefix_cache.rs
@@ -37,8 +37,7 @@
         segments
             .iter()
             .take_while(|segment| self.segments.contains_key(&segment.id))
-            .map(|segment| segment.tokens)
-            .sum()
+            .fold(0, |tokens, segment| segment.tokens.saturating_add(tokens))
     }
 
     /// Records that a prompt is prefilled, which adds its segments to the cache.
--- a/crates/dragonflystep_dispatch/src/upstream.rs
+++ b/crates/dragonflystep_dispatch/src/upstream.rs
@@ -334,7 +334,8 @@
         } else {
             0
         };
-        self.runs.len() as u32 + foreign + lingering < slots
+        let own = self.runs.len() as u32 + lingering;
+        foreign.saturating_add(own) < slots
     }
 
     /// Records the reported load. Requests only wait at the upstream if someone other than this owner places some
@@ -343,7 +344,7 @@
         if load.waiting == 0 {
             return;
         }
-        let total = load.running + load.waiting;
+        let total = load.running.saturating_add(load.waiting);
         self.foreign_runs = total.saturating_sub(self.runs.len() as u32);
         self.foreign_until = now + FOREIGN_LOAD_MEMORY;
     }
