Accept no answer whose head was joined with another one

Timeline: the upstream writes "HTTP/1.1 200 OK" and a part of a head, stops there, and then sends a head from its start. The HTTP library reads both as one head: status and framing of the first, id and signature of the second. Hypotheses: (1) a head that ends with its connection is taken as complete; (2) the same through a tunnel or after a 100 or 103; (3) two heads are joined. (1) and (2) were ruled out by cuts at each byte over real sockets, closed and reset (cut_heads.rs): the caller never got a success, a rejection or a whole answer, directly or behind another node. (3) is the one that shows a 200.

Cause: marks of a second head were looked for in rejections alone. They now speak against each answer, also to the node's own calls (health checks, orders to stop a run), for which a joined 200 would say that a leaving upstream takes requests. Whether this is what the report saw is not proved: it says that the worker closed its connection.

--- a/crates/dragonflystep_edge/src/upstream_answer.rs
+++ b/crates/dragonflystep_edge/src/upstream_answer.rs
@@ -63,13 +63,16 @@
     }
 
     /// Claims the answer for a caller's request. Without its id, only a rejection of the first call of a connection is
-    /// accepted. A rejection that also bears marks of a run is not accepted: heads of two answers may have been joined.
+    /// accepted. A rejection that also bears marks of a run is not accepted, nor is a head that was joined with another one.
     pub(crate) fn claim_for_request(
         self,
         node: &Node,
         request_id: &str,
     ) -> Result<UpstreamAnswer, ForeignAnswer> {
         let mut answer = self.read_head(node);
+        if is_joined(&answer.head, &answer.facts) {
+            return answer.accept_if(false, node, "joined");
+        }
         let facts = &answer.facts;
         let is_rejection = facts.is_not_run || facts.is_misdirected;
         if is_rejection && has_marks_of_run(&answer.head, facts) {
@@ -90,6 +93,9 @@
     /// Claims the answer for a call of this node, which has no id.
     pub(crate) fn claim_for_call(self, node: &Node) -> Result<UpstreamAnswer, ForeignAnswer> {
         let mut answer = self.read_head(node);
+        if is_joined(&answer.head, &answer.facts) {
+            return answer.accept_if(false, node, "joined");
+        }
         let is_own = answer.facts.request_id.is_empty() && answer.connection.note_unnamed_answer();
         answer.accept_if(is_own, node, "call")
     }
@@ -105,7 +111,17 @@
     }
 }
 
-/// Whether the head of a rejection also says that the request ran, or holds parts of two heads.
+/// Whether a head holds parts of two heads: an upstream may stop in the middle of one and begin another. The status then belongs to
+/// one answer, and the rest to the other.
+fn is_joined(head: &Parts, facts: &AnswerFacts) -> bool {
+    let holds_status_line = |value: &HeaderValue| {
+        let mut parts = value.as_bytes().windows(STATUS_LINE_START.len());
+        parts.any(|part| part == STATUS_LINE_START)
+    };
+    facts.is_ambiguous || head.headers.values().any(holds_status_line)
+}
+
+/// Whether the head of a rejection also says that the request ran.
 fn has_marks_of_run(head: &Parts, facts: &AnswerFacts) -> bool {
     let is_rejection_status = matches!(
         head.status,
@@ -114,14 +130,7 @@
             | StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
     );
-    let holds_status_line = |value: &HeaderValue| {
-        let mut parts = value.as_bytes().windows(STATUS_LINE_START.len());
-        parts.any(|part| part == STATUS_LINE_START)
-    };
-    facts.is_signed
-        || facts.is_ambiguous
-        || !is_rejection_status
-        || head.headers.values().any(holds_status_line)
+    facts.is_signed || !is_rejection_status
 }
 
 impl UpstreamAnswer {
