--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -10,6 +10,9 @@
 /// Keep-alive time assumed for an upstream that does not state one.
 pub(crate) const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(3);
 
+/// Longest keep-alive time that counts. Connections that are idle for longer are rarely needed again.
+pub(crate) const MAX_KEEP_ALIVE: Duration = Duration::from_secs(600);
+
 /// Maximum number of idle connections kept per upstream; about as many as requests run there at once.
 pub(crate) const MAX_IDLE_CONNECTIONS: usize = 8;
 
--- a/crates/dragonflystep_edge/src/rollouts.rs
+++ b/crates/dragonflystep_edge/src/rollouts.rs
@@ -70,7 +70,7 @@
             service: status.service.clone(),
             target_version: status.to.clone(),
             number: status.number,
-            ends_at: now + status.left,
+            ends_at: now.saturating_add(status.left),
         };
         let is_full = known.len() >= MAX_ORDERS;
         let Some(before) = known.get_mut(&status.service) else {
--- a/crates/dragonflystep_edge/src/upstream_connections.rs
+++ b/crates/dragonflystep_edge/src/upstream_connections.rs
@@ -4,7 +4,7 @@
     crate::{
         limits::{
             DEFAULT_KEEP_ALIVE, MAX_ANSWER_HEAD_BYTES, MAX_HEADER_LINES, MAX_IDLE_CONNECTIONS,
-            MAX_REJECTIONS_PER_CONNECTION, USABLE_KEEP_ALIVE_SHARE,
+            MAX_KEEP_ALIVE, MAX_REJECTIONS_PER_CONNECTION, USABLE_KEEP_ALIVE_SHARE,
         },
         metered_stream::{MeteredStream, StreamMeter},
         metrics::Metrics,
@@ -153,7 +153,7 @@
         if !connection.is_reusable() {
             return;
         }
-        let idle_time = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
+        let idle_time = keep_alive.map_or(DEFAULT_KEEP_ALIVE, |stated| stated.min(MAX_KEEP_ALIVE));
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.address.clone()).or_default();
         let now = Instant::now();
