Blame no content where the caller of a resumed stream lacked nothing but its end

An answer without framing and without events counted as a crash; the caller of a resumed stream may have all events, so that its upstream properly sends none and closes. Such an end is no proof that the stream is whole, so it is still broken off, but it says nothing of the upstream or the content.

--- a/crates/dragonflystep_edge/src/relay.rs
+++ b/crates/dragonflystep_edge/src/relay.rs
@@ -238,6 +238,11 @@
                     let remainder = splitter.take_remainder();
                     if is_inside_event || is_without_events {
                         log::info!(request:% = job.facts.request_id, upstream:% = self.slot.grant.upstream, content:% = job.content(), framing = framing.name(), events = stats.events, left_over_bytes = remainder.len(); "a stream ended before it was complete");
+                        // The caller of a resumed stream may have all events, so that none was left to send.
+                        if !is_inside_event && caller.last_event_id().is_some() {
+                            self.slot.end(RunOutcome::Cancelled, stats);
+                            return RelayEnd::Broken;
+                        }
                         job.count_broken_run(stats.events);
                         self.slot.end(RunOutcome::Broken, stats);
                         return RelayEnd::Broken;
