--- a/crates/dragonflystep_dispatch/tests/review_stream_versions.rs
+++ b/crates/dragonflystep_dispatch/tests/review_stream_versions.rs
@@ -171,3 +171,28 @@
         "all streams of all services are written to the store as long as that"
     );
 }
+
+/// Two owners, one after the other within the window of the retry budget, as after a loss of all nodes. The users' rule sums the
+/// retries over all machines.
+#[test]
+fn an_owner_that_has_just_started_does_not_take_the_retry_budget_for_unspent() {
+    const PERMITTED: usize = 50;
+    let retried = |first_run: RunId| {
+        let mut owner = dispatcher(50, SLOTS);
+        let granted = (0..100).filter(|number| {
+            let request = SlotRequest {
+                previous_attempts: 1,
+                ..plain_request(first_run + number, 0)
+            };
+            let at = START + Duration::from_millis(10 * number);
+            let decision = request_slot(&mut owner, at, request);
+            matches!(
+                decision,
+                Some(dragonflystep_dispatch::SlotDecision::Granted(_))
+            )
+        });
+        granted.count()
+    };
+    let granted = retried(1_000) + retried(2_000);
+    assert!(granted <= PERMITTED, "{granted} retries in 3 s");
+}
