Rely on no older record, missed reading or late write for the version of a stream

Found by a review with failing tests (streams_of_missed_versions.rs, version_reports.rs), without a loss of all nodes too: - An entry node's memory of a try without events went before the owner's newer record: 8 of 16 streams at two versions. Now only what a node relayed itself goes first; reports of two versions make a stream unknown. - The store refused the owner alone, which granted at a version that was never written: 16 of 16 joined. The other nodes that follow the platform write what the row lacks. - Nodes that see most nodes but not the store took their registry for up to date: 4 streams at two versions. Only an answer of the platform or sight of all nodes counts, so entry nodes report their streams to a new owner with one version too. - A late write of an older row counted as the newest: 8 of 16 at two versions.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -223,7 +223,8 @@
             }
             Event::StreamsRestored(streams) => {
                 // The newest record of a stream comes last.
-                for stream in streams.into_iter().rev() {
+                let newest = streams.into_iter().map(|stream| (stream.stream, stream));
+                for stream in newest.collect::<HashMap<_, _>>().into_values() {
                     self.streams.record_restored(now, stream);
                 }
             }
--- a/crates/dragonflystep_dispatch/src/dispatcher/streams.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/streams.rs
@@ -4,7 +4,7 @@
     super::Dispatcher,
     crate::{
         ids::{MonotonicTime, StreamId, UpstreamVersion},
-        limits::{STREAM_SWEEP_INTERVAL, UNKNOWN_STREAM_RETRY_AFTER, VERSION_MEMORY},
+        limits::{MAX_STREAM_LIFETIME, STREAM_SWEEP_INTERVAL, UNKNOWN_STREAM_RETRY_AFTER},
         messages::{Refusal, RefusalReason, SlotRequest, StartVersion, StreamProgress, StreamTry},
         refusal::refuse,
         stream_versions::{StreamVersion, VersionHistory},
@@ -103,7 +103,7 @@
     fn knows_recent_versions(&self, now: MonotonicTime) -> bool {
         let followed_since = self.registry_followed_since;
         self.is_version_history_known
-            || followed_since.is_some_and(|since| now >= since + VERSION_MEMORY)
+            || followed_since.is_some_and(|since| now >= since + MAX_STREAM_LIFETIME)
     }
 
     /// Whether this node has to learn from the platform which software versions the upstreams had lately.
@@ -228,14 +228,20 @@
         let StreamProgress::Resumed(start) = &stream.progress else {
             return None;
         };
-        if let StartVersion::Recorded(version) = start {
+        if let StartVersion::Relayed(version) | StartVersion::Bound(version) = start {
             return Some((version.clone(), VersionEvidence::EntryRecord));
         }
+        if self.streams.is_ambiguous(now, stream.id) {
+            return None;
+        }
         if let Some(version) = self.streams.version(now, stream.id) {
             return Some((version.clone(), VersionEvidence::OwnerRecord));
         }
         let service = &request.service;
         match start {
+            StartVersion::Remembered(version) => {
+                Some((version.clone(), VersionEvidence::EntryRecord))
+            }
             StartVersion::Only(version) if !self.has_several_versions(now, service) => {
                 Some((version.clone(), VersionEvidence::EntrySawNoOther))
             }
@@ -270,7 +276,7 @@
                 UNKNOWN_STREAM_RETRY_AFTER,
             ));
         };
-        *start = StartVersion::Recorded(version);
+        *start = StartVersion::Bound(version);
         Ok(())
     }
 }
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -381,6 +381,10 @@
 /// began there. Longer than callers usually wait for a stream.
 pub(crate) const VERSION_MEMORY: Duration = Duration::from_secs(30);
 
+/// Longest time for which a stream may be resumed, whatever its caller states. One caller with a deadline of a day would otherwise
+/// keep a version that has left among the recent ones for as long.
+pub(crate) const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(600);
+
 /// Time for which the version of a stream is remembered after the stream was relayed to its end.
 pub(crate) const COMPLETED_STREAM_LIFETIME: Duration = Duration::from_secs(3);
 
--- a/crates/dragonflystep_dispatch/src/messages.rs
+++ b/crates/dragonflystep_dispatch/src/messages.rs
@@ -55,8 +55,12 @@
 /// What is known of the software version at which a stream began.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StartVersion {
-    /// A node remembers that the stream began at this version.
-    Recorded(UpstreamVersion),
+    /// The entry node has relayed events of this version to the caller.
+    Relayed(UpstreamVersion),
+    /// The entry node was granted a slot for the stream at this version. A later try may have begun at another one.
+    Remembered(UpstreamVersion),
+    /// The owner has bound the request to this version.
+    Bound(UpstreamVersion),
     /// Within the time in which callers may come back, the entry node has seen this version and no other.
     Only(UpstreamVersion),
     /// The entry node can't tell.
@@ -231,8 +235,8 @@
         matches!(stream.progress, StreamProgress::Resumed(_)).then_some(stream.id)
     }
 
-    /// The software version that an upstream must have to run the request; absent if all may run it, or if the request
-    /// resumes a stream whose version is not known.
+    /// The software version that an upstream must have to run the request; absent if all may run it, or if that is not certain
+    /// yet.
     ///
     /// # Examples
     /// ```
@@ -241,7 +245,7 @@
     ///
     /// let stream = StreamTry {
     ///     id: 3, caller_time_left: Duration::from_secs(4),
-    ///     progress: StreamProgress::Resumed(StartVersion::Recorded("v2".into())),
+    ///     progress: StreamProgress::Resumed(StartVersion::Bound("v2".into())),
     /// };
     /// let request = SlotRequest {
     ///     run: 1, service: "s".into(), route: "r".into(), account: None, quota_units: 0, tier: 0,
@@ -254,9 +258,9 @@
     pub fn required_version(&self) -> Option<&UpstreamVersion> {
         match &self.stream.as_ref()?.progress {
             StreamProgress::Resumed(
-                StartVersion::Recorded(version) | StartVersion::Only(version),
+                StartVersion::Relayed(version) | StartVersion::Bound(version),
             ) => Some(version),
-            StreamProgress::New | StreamProgress::Resumed(StartVersion::Unknown { .. }) => None,
+            StreamProgress::New | StreamProgress::Resumed(_) => None,
         }
     }
 
--- a/crates/dragonflystep_dispatch/src/pool/placing.rs
+++ b/crates/dragonflystep_dispatch/src/pool/placing.rs
@@ -6,7 +6,8 @@
         event::Effect,
         ids::{MonotonicTime, UpstreamId},
         limits::{
-            CLEARLY_FASTER_RATIO, IDLE_RUN_COST_SHARE, PLENTIFUL_SLOTS_SHARE, RUN_COST_SHARE,
+            CLEARLY_FASTER_RATIO, IDLE_RUN_COST_SHARE, MAX_STREAM_LIFETIME, PLENTIFUL_SLOTS_SHARE,
+            RUN_COST_SHARE,
         },
         messages::{CopyTarget, Grant, SlotDecision, SlotRequest},
         placement::{Prediction, ServiceModel, choose},
@@ -190,7 +191,7 @@
             let versions = request.stream_ids().map(|id| StreamVersion {
                 stream: id,
                 version: upstream.entry.version.clone(),
-                lifetime: stream.caller_time_left,
+                lifetime: stream.caller_time_left.min(MAX_STREAM_LIFETIME),
             });
             self.granted_streams.extend(versions);
         }
--- a/crates/dragonflystep_dispatch/src/stream_versions.rs
+++ b/crates/dragonflystep_dispatch/src/stream_versions.rs
@@ -7,7 +7,9 @@
 use {
     crate::{
         ids::{MonotonicTime, ServiceName, StreamId, UpstreamVersion},
-        limits::{COMPLETED_STREAM_LIFETIME, MAX_STREAM_RECORDS, VERSION_MEMORY},
+        limits::{
+            COMPLETED_STREAM_LIFETIME, MAX_STREAM_LIFETIME, MAX_STREAM_RECORDS, VERSION_MEMORY,
+        },
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -34,6 +36,10 @@
     is_own: bool,
     /// Whether this node granted a slot for the stream as the owner.
     is_granted: bool,
+    /// Whether the platform keeps the stream at this version, or is about to.
+    is_kept: bool,
+    /// Whether other nodes report another version, and it is not known which of the two came later.
+    is_ambiguous: bool,
 }
 
 /// The streams whose versions a node knows.
@@ -52,8 +58,9 @@
     /// Records a stream for which this node granted a slot.
     pub(crate) fn record_granted(&mut self, now: MonotonicTime, granted: StreamVersion) {
         let stream = granted.stream;
-        let before = self.version(now, stream);
-        let is_replaced = before.is_some_and(|before| *before != granted.version);
+        let before = self.records.get(&stream);
+        let is_replaced =
+            before.is_some_and(|before| before.is_kept && before.version != granted.version);
         if let Some(record) = self.insert(now, granted) {
             record.is_granted = true;
             self.changed.insert(stream);
@@ -71,16 +78,35 @@
 
     /// Records a stream that the platform kept, unless something newer is known of it.
     pub(crate) fn record_restored(&mut self, now: MonotonicTime, restored: StreamVersion) {
-        if self.version(now, restored.stream).is_none() {
-            self.insert(now, restored);
+        let known = self.records.get(&restored.stream);
+        if known.is_none_or(|record| !record.is_granted || record.expires_at <= now) {
+            let stream = restored.stream;
+            self.record_reported(now, restored);
+            if let Some(record) = self.records.get_mut(&stream) {
+                record.is_kept = true;
+            }
         }
     }
 
-    /// Records a stream that another node reported.
+    /// Records a stream that another node reported. If this node knows another version, it can't tell which came later.
     pub(crate) fn record_reported(&mut self, now: MonotonicTime, reported: StreamVersion) {
+        let known = self.records.get_mut(&reported.stream);
+        if let Some(record) = known.filter(|record| now < record.expires_at)
+            && record.version != reported.version
+        {
+            record.is_ambiguous = true;
+            record.expires_at = record.expires_at.max(now + reported.lifetime);
+            return;
+        }
         self.insert(now, reported);
     }
 
+    /// Whether this node knows that a stream began at several versions, and not at which one last.
+    pub(crate) fn is_ambiguous(&self, now: MonotonicTime, stream: StreamId) -> bool {
+        let record = self.records.get(&stream);
+        record.is_some_and(|record| record.is_ambiguous && now < record.expires_at)
+    }
+
     /// Returns the record of the stream, unless there is no room for it.
     fn insert(&mut self, now: MonotonicTime, added: StreamVersion) -> Option<&mut Record> {
         let has_room = self.records.len() < MAX_STREAM_RECORDS;
@@ -92,16 +118,20 @@
             expires_at: MonotonicTime::ZERO,
             is_own: false,
             is_granted: false,
+            is_kept: false,
+            is_ambiguous: false,
         });
+        record.is_kept &= record.version == added.version;
+        record.is_ambiguous = false;
         record.version = added.version;
-        record.expires_at = now + added.lifetime;
+        record.expires_at = now + added.lifetime.min(MAX_STREAM_LIFETIME);
         Some(record)
     }
 
     /// Returns the version at which a stream began.
     pub(crate) fn version(&self, now: MonotonicTime, stream: StreamId) -> Option<&UpstreamVersion> {
         let record = self.records.get(&stream)?;
-        (now < record.expires_at).then_some(&record.version)
+        (now < record.expires_at && !record.is_ambiguous).then_some(&record.version)
     }
 
     /// Shortens the lifetime of a stream that was relayed to its end. Its caller may lack the last events if the entry node
@@ -130,7 +160,7 @@
     pub(crate) fn mark_granted_changed(&mut self) {
         let granted = self.records.iter().filter(|(_, record)| record.is_granted);
         self.changed = granted.map(|(stream, _)| *stream).collect();
-        self.unstored = self.changed.clone();
+        self.unstored = self.records.keys().copied().collect();
     }
 
     /// Marks streams as not kept by the platform.
@@ -159,6 +189,9 @@
         let taken: Vec<StreamId> = self.unstored.iter().copied().take(limit).collect();
         for stream in &taken {
             self.unstored.remove(stream);
+            if let Some(record) = self.records.get_mut(stream) {
+                record.is_kept = true;
+            }
         }
         self.has_replaced &= !self.unstored.is_empty();
         let known = taken
@@ -200,7 +233,7 @@
     now: MonotonicTime,
     records: impl Iterator<Item = (StreamId, &'a Record)>,
 ) -> Vec<StreamVersion> {
-    let unexpired = records.filter(|(_, record)| now < record.expires_at);
+    let unexpired = records.filter(|(_, record)| now < record.expires_at && !record.is_ambiguous);
     unexpired
         .map(|(stream, record)| StreamVersion {
             stream,
@@ -286,7 +319,7 @@
         let is_longest = lifetime > seen.longest_lifetime;
         if is_longest {
             // With room for longer ones, so that callers with slowly growing deadlines do not change it each time.
-            seen.longest_lifetime = lifetime + lifetime / 2;
+            seen.longest_lifetime = (lifetime + lifetime / 2).min(MAX_STREAM_LIFETIME);
         }
         is_longest
     }
--- a/crates/dragonflystep_edge/src/kept_streams.rs
+++ b/crates/dragonflystep_edge/src/kept_streams.rs
@@ -7,7 +7,9 @@
 
 use {
     crate::{
-        limits::{MAX_STREAMS_PER_WRITE, RESTORE_PATIENCE, STREAM_KEEPING_DELAY},
+        limits::{
+            MAX_STREAMS_PER_WRITE, RESTORE_PATIENCE, STREAM_KEEPING_DELAY, VERSION_CHECK_DELAY,
+        },
         node::Node,
         platform::Platform,
     },
@@ -157,8 +159,10 @@
         restoration.requested.notified().await;
         platform.clone().restore_streams(node.clone()).await;
         restoration.end(RestorationPhase::Done);
-        // The platform has to know the versions that this node sees.
-        node.owner.versions_changed.notify_one();
+        if node.is_current_owner() {
+            // The platform has to know the versions that this node sees.
+            node.owner.versions_changed.notify_one();
+        }
     }
 }
 
@@ -182,19 +186,25 @@
     }
 }
 
-/// Has the platform keep which software versions the upstreams had lately, for as long as the node runs. Only the owner writes
-/// them.
+/// Has the platform keep which software versions the upstreams had lately, for as long as the node runs.
+///
+/// The owner writes them at once. The other nodes that follow the platform check a moment later that they are written, as the
+/// platform may refuse the owner alone; the upstreams of a new version get no requests before that.
 pub(crate) async fn keep_version_history(node: Rc<Node>, platform: Rc<dyn Platform>) {
     loop {
         node.owner.versions_changed.notified().await;
         // Until then each node takes itself for the owner.
         node.wait_for_node_list().await;
-        if node.is_current_owner() {
-            let history = node.owner.version_history();
-            platform
-                .clone()
-                .keep_version_history(node.clone(), history)
-                .await;
+        if !node.is_current_owner() {
+            if !node.follows_platform() {
+                continue;
+            }
+            sleep(node.jittered(VERSION_CHECK_DELAY, 0.7..1.3)).await;
         }
+        let history = node.owner.version_history();
+        platform
+            .clone()
+            .keep_version_history(node.clone(), history)
+            .await;
     }
 }
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -110,6 +110,10 @@
 /// only if all nodes fail, and most such streams have no event yet.
 pub(crate) const STREAM_KEEPING_DELAY: Duration = Duration::from_millis(250);
 
+/// Time after which a node that is not the owner checks that the platform keeps a change of versions. Upstreams of a version without
+/// an order get their first requests after 1.5 s.
+pub(crate) const VERSION_CHECK_DELAY: Duration = Duration::from_millis(700);
+
 /// Maximum number of streams that the platform keeps in one write; some 12 KB.
 pub(crate) const MAX_STREAMS_PER_WRITE: usize = 1_000;
 
--- a/crates/dragonflystep_edge/src/node/liveness.rs
+++ b/crates/dragonflystep_edge/src/node/liveness.rs
@@ -77,9 +77,11 @@
         self.ranked_owners(1).contains(&self.settings.node)
     }
 
-    /// Whether this node learns of changes of the registry: it sees most of the nodes, or the platform has answered lately.
+    /// Whether this node learns of changes of the registry: the platform has answered it or a node that it hears from lately, or
+    /// no node is out of its sight that the platform may have answered.
     fn is_registry_fresh(&self) -> bool {
-        self.sees_majority() || self.platform_silence() <= MAX_PLATFORM_SILENCE
+        let visibility = self.owner.visibility();
+        visibility.visible >= visibility.known || self.platform_silence() <= MAX_PLATFORM_SILENCE
     }
 
     /// Time since the platform last answered this node, or another one that reported it.
--- a/crates/dragonflystep_edge/src/slots.rs
+++ b/crates/dragonflystep_edge/src/slots.rs
@@ -380,9 +380,8 @@
         return;
     }
     if let Some(report) = usage_report {
-        if node.owner.shares_streams() {
-            node.send_streams(owner, &Rc::new(node.owner.own_streams()));
-        }
+        // Also while there is one version: the owner may not be able to tell that there is no other.
+        node.send_streams(owner, &Rc::new(node.owner.own_streams()));
         let (notices, crashes) = (node.owner.notices(), node.owner.crash_evidence());
         if !notices.is_empty() || !crashes.is_empty() {
             spawn_local(send_notices(link.clone(), notices, crashes));
--- a/crates/dragonflystep_edge/src/stream_try.rs
+++ b/crates/dragonflystep_edge/src/stream_try.rs
@@ -24,17 +24,14 @@
         };
         let owner = &self.node.owner;
         let progress = if attempts.stream_version.is_some() || self.is_resumed() {
-            let known = attempts.stream_version.clone();
-            let recorded = known.or_else(|| owner.stream_version(id));
-            StreamProgress::Resumed(match recorded {
-                Some(version) => StartVersion::Recorded(version),
-                None => match owner.only_version(&self.service) {
-                    Some(version) => StartVersion::Only(version),
-                    None => StartVersion::Unknown {
-                        saw_several: owner.has_several_versions(&self.service),
-                    },
-                },
-            })
+            let relayed = attempts.stream_version.clone();
+            let relayed = relayed.map(StartVersion::Relayed);
+            let remembered = || owner.stream_version(id).map(StartVersion::Remembered);
+            let only = || owner.only_version(&self.service).map(StartVersion::Only);
+            let start = relayed.or_else(remembered).or_else(only);
+            StreamProgress::Resumed(start.unwrap_or_else(|| StartVersion::Unknown {
+                saw_several: owner.has_several_versions(&self.service),
+            }))
         } else {
             StreamProgress::New
         };
--- a/crates/dragonflystep_peer/src/stream_codec.rs
+++ b/crates/dragonflystep_peer/src/stream_codec.rs
@@ -18,9 +18,12 @@
     let StreamProgress::Resumed(start) = &stream.progress else {
         return;
     };
-    // A node that remembers the version may have seen others; one that saw no other concluded it from that.
+    // A node that remembers the version may have seen others; one that saw no other concluded it from that. What an owner
+    // knows goes before either, so that it need not be told which events the node has relayed.
     let (version, saw_several) = match start {
-        StartVersion::Recorded(version) => (&**version, true),
+        StartVersion::Relayed(version)
+        | StartVersion::Remembered(version)
+        | StartVersion::Bound(version) => (&**version, true),
         StartVersion::Only(version) => (&**version, false),
         StartVersion::Unknown { saw_several } => ("", *saw_several),
     };
@@ -38,7 +41,7 @@
         let saw_several = input.get_saw_several_versions();
         StreamProgress::Resumed(match (version, saw_several) {
             ("", saw_several) => StartVersion::Unknown { saw_several },
-            (version, true) => StartVersion::Recorded(version.into()),
+            (version, true) => StartVersion::Remembered(version.into()),
             (version, false) => StartVersion::Only(version.into()),
         })
     } else {
