--- a/crates/dragonflystep_dispatch/tests/version_reports.rs
+++ b/crates/dragonflystep_dispatch/tests/version_reports.rs
@@ -145,7 +145,7 @@
     );
 }
 
-/// The calls to the store are meant to be 250 ms apart; nothing was written yet that would have to be corrected.
+/// Nothing was written yet that would have to be corrected.
 #[test]
 fn a_stream_that_begins_again_before_anything_was_kept_needs_no_call_of_its_own() {
     let mut owner = owner(&["v1", "v2"]);
--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -108,7 +108,7 @@
 
 /// Time for which the owner collects streams before the platform keeps them. A call costs money; what is not kept yet is lost
 /// only if all nodes fail, and most such streams have no event yet.
-pub(crate) const STREAM_KEEPING_DELAY: Duration = Duration::from_millis(250);
+pub(crate) const STREAM_KEEPING_DELAY: Duration = Duration::from_millis(100);
 
 /// Time after which a node that is not the owner checks that the platform keeps a change of versions. Upstreams of a version without
 /// an order get their first requests after 1.5 s.
