Keep the recent versions of a service whose pool is dropped

The versions now outlive the pool by themselves, for at most 1,024 services; beyond that a node no longer takes its knowledge for complete.

--- a/crates/dragonflystep_dispatch/src/dispatcher.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher.rs
@@ -24,7 +24,7 @@
         retry_budget::RetryLimits,
         rollout::{RolloutRules, RolloutStep},
         share_rules::ShareRules,
-        stream_versions::StreamVersions,
+        stream_versions::{SeenVersions, StreamVersions},
         warm_up::WarmUpRules,
     },
     std::{
@@ -99,6 +99,10 @@
     registry_followed_since: Option<MonotonicTime>,
     /// Whether this node also knows of the changes before that, as far as they matter for streams.
     is_version_history_known: bool,
+    /// Software versions of services whose pools were dropped, for as long as their streams may be resumed.
+    former_versions: HashMap<ServiceName, SeenVersions>,
+    /// Whether these changed since that was last taken.
+    have_former_versions_changed: bool,
     /// Time until which another owner may be granting slots too; absent when no overlap is known.
     overlap_ends_at: Option<MonotonicTime>,
     /// When an entry node last requested a slot here; absent if none has.
@@ -136,6 +140,8 @@
             is_registry_fresh: true,
             registry_followed_since: None,
             is_version_history_known: false,
+            former_versions: HashMap::new(),
+            have_former_versions_changed: false,
             overlap_ends_at: None,
             last_request_at: None,
             rejections_unknown_until: Duration::ZERO,
--- a/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/documents.rs
@@ -6,7 +6,7 @@
         account_shares::AccountWeights,
         catalogue::Catalogue,
         ids::{MonotonicTime, ServiceName, UpstreamId},
-        limits::{OVERLAP_RATE_SHARE, REJECTION_WINDOW},
+        limits::{MAX_FORMER_SERVICES, OVERLAP_RATE_SHARE, REJECTION_WINDOW},
         upstream::Upstream,
         usage::UsageReport,
     },
@@ -90,7 +90,10 @@
             service_upstreams.push(upstream);
         }
         for name in by_service.keys() {
-            self.pools.entry(name.clone()).or_default();
+            let pool = self.pools.entry(name.clone()).or_default();
+            if let Some(former) = self.former_versions.remove(name) {
+                pool.seen_versions.merge_former(former);
+            }
         }
         let rate_limit_share = self.rate_limit_share();
         for (name, pool) in &mut self.pools {
@@ -106,6 +109,18 @@
         self.registry_followed_since.get_or_insert(now);
         self.update_stream_sharing(now);
         // Registry entries may name any service; dropping unused pools keeps them from accumulating.
-        self.pools.retain(|_, pool| !pool.is_unused());
+        let dropped = self.pools.extract_if(|_, pool| pool.is_unused());
+        for (name, pool) in dropped {
+            self.have_former_versions_changed |= pool.have_versions_changed;
+            if pool.seen_versions.is_empty() {
+                continue;
+            }
+            if self.former_versions.len() < MAX_FORMER_SERVICES {
+                self.former_versions.insert(name, pool.seen_versions);
+            } else {
+                self.is_version_history_known = false;
+                self.registry_followed_since = Some(now);
+            }
+        }
     }
 }
--- a/crates/dragonflystep_dispatch/src/dispatcher/streams.rs
+++ b/crates/dragonflystep_dispatch/src/dispatcher/streams.rs
@@ -67,6 +67,10 @@
         for pool in self.pools.values_mut() {
             pool.seen_versions.expire(now);
         }
+        self.former_versions.retain(|_, seen| {
+            seen.expire(now);
+            !seen.is_empty()
+        });
         self.update_stream_sharing(now);
     }
 
@@ -133,8 +137,11 @@
     /// Returns the software versions of each service at which streams may have begun that callers may still resume, as far as
     /// this node knows.
     pub fn version_history(&self, now: MonotonicTime) -> VersionHistory {
-        let services = self.pools.iter();
-        let services = services.map(|(name, pool)| (name.clone(), pool.seen_versions.recent(now)));
+        let pools = self.pools.iter();
+        let present = pools.map(|(name, pool)| (name.clone(), pool.seen_versions.recent(now)));
+        let former = self.former_versions.iter();
+        let former = former.map(|(name, seen)| (name.clone(), seen.recent(now)));
+        let services = former.chain(present);
         VersionHistory {
             services: services
                 .filter(|(_, versions)| !versions.is_empty())
@@ -145,7 +152,7 @@
 
     /// Returns whether the software versions of a service changed since the last call.
     pub fn take_versions_changed(&mut self) -> bool {
-        let mut have_changed = false;
+        let mut have_changed = std::mem::take(&mut self.have_former_versions_changed);
         for pool in self.pools.values_mut() {
             have_changed |= std::mem::take(&mut pool.have_versions_changed);
         }
--- a/crates/dragonflystep_dispatch/src/limits.rs
+++ b/crates/dragonflystep_dispatch/src/limits.rs
@@ -385,6 +385,9 @@
 /// keep a version that has left among the recent ones for as long.
 pub(crate) const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(600);
 
+/// Maximum number of services without upstreams whose recent software versions are remembered.
+pub(crate) const MAX_FORMER_SERVICES: usize = 1_024;
+
 /// Time for which the version of a stream is remembered after the stream was relayed to its end.
 pub(crate) const COMPLETED_STREAM_LIFETIME: Duration = Duration::from_secs(3);
 
--- a/crates/dragonflystep_dispatch/src/pool.rs
+++ b/crates/dragonflystep_dispatch/src/pool.rs
@@ -228,7 +228,6 @@
             && self.queue.is_empty()
             && self.retries.is_empty()
             && self.rollout.is_none()
-            && self.seen_versions.is_empty()
     }
 
     /// Handles a new request: grants it a slot, queues it or refuses it.
--- a/crates/dragonflystep_dispatch/src/stream_versions.rs
+++ b/crates/dragonflystep_dispatch/src/stream_versions.rs
@@ -334,6 +334,15 @@
         }
     }
 
+    /// Adds what was known of the same service before its pool was dropped.
+    pub(crate) fn merge_former(&mut self, former: Self) {
+        for (version, former) in former.0 {
+            let seen = self.entry(version);
+            seen.resumable_until = seen.resumable_until.max(former.resumable_until);
+            seen.longest_lifetime = seen.longest_lifetime.max(former.longest_lifetime);
+        }
+    }
+
     /// The versions at which a stream may have begun that a caller may still resume.
     pub(crate) fn recent(&self, now: MonotonicTime) -> Vec<RecentVersion> {
         let recent = self.0.iter().filter(|(_, seen)| seen.is_recent(now));
--- a/crates/dragonflystep_dispatch/tests/version_reports.rs
+++ b/crates/dragonflystep_dispatch/tests/version_reports.rs
@@ -178,3 +178,26 @@
         "all streams of all services are written to the store as long as that"
     );
 }
+
+/// The pool of a service without upstreams and without engines in the catalogue is dropped.
+#[test]
+fn a_service_whose_upstreams_come_back_at_another_version_joins_no_stream_of_the_one_before() {
+    let mut owner = dispatcher(0, SLOTS);
+    owner.reduce(START, history(&[]));
+    let of_other_service = |version: &str| {
+        let mut upstreams = upstreams(&[version]);
+        upstreams[0].service = "other".into();
+        Event::UpstreamsChanged(upstreams)
+    };
+    owner.reduce(START, of_other_service("v1"));
+    owner.reduce(START, Event::UpstreamsChanged(Vec::new()));
+    let soon = START + Duration::from_secs(2);
+    owner.reduce(soon, of_other_service("v2"));
+    let mut request = resumed(1, 7);
+    request.service = "other".into();
+    let decision = request_slot(&mut owner, soon, request);
+    assert_eq!(
+        refusal(decision).reason,
+        RefusalReason::StreamVersionUnknown
+    );
+}
