--- a/crates/dragonflystep_edge/src/limits.rs
+++ b/crates/dragonflystep_edge/src/limits.rs
@@ -345,7 +345,7 @@
 /// caller waits meanwhile; a pause that is longer than usual is noticed, but worth less than the stream.
 pub(crate) const STOP_RUN_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long the word of another node that it does not reach an upstream serves all streams that broke off there.
+/// How long an answer of another node that it does not reach an upstream counts for all streams that broke off there.
 pub(crate) const DOWN_PROOF_TIME: Duration = Duration::from_millis(500);
 
 /// Time for which a node remembers that it read that an upstream leaves. Nodes that the platform refuses may keep such an
